--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -38,6 +38,14 @@
   AnswerLost = "answer_lost",
   /** An answer or a body is larger than its limit. */
   TooLarge = "too_large",
+  /** The changes asked for are no longer kept by the table. */
+  HistoryLost = "history_lost",
+  /** The call was turned away because too many were made; it had no effect. */
+  RateLimited = "rate_limited",
+  /** A worker has seen a newer leader. */
+  Fenced = "fenced",
+  /** Another instance answers at a worker's address. */
+  OtherInstance = "other_instance",
   /** The peer's message or the platform's answer could not be read. */
   Malformed = "malformed",
 }
@@ -62,6 +70,10 @@
   [FaultCode.DuplicateRequest]: "this idempotency key was used before",
   [FaultCode.AnswerLost]: "the endpoint's answer was lost",
   [FaultCode.TooLarge]: "larger than the limit",
+  [FaultCode.HistoryLost]: "the changes asked for are no longer kept",
+  [FaultCode.RateLimited]: "too many calls are made",
+  [FaultCode.Fenced]: "the worker has seen a newer leader",
+  [FaultCode.OtherInstance]: "another instance answers at the address",
   [FaultCode.Malformed]: "the message could not be read",
 };
 
--- /dev/null
+++ b/packages/desk/src/job_desk.ts
@@ -0,0 +1,153 @@
+import type { Clock } from "@laburnumtrack/core/clock";
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
+import type { Table } from "@laburnumtrack/core/table";
+import type { Job } from "@laburnumtrack/jobs/job";
+import { jobKey, readState, stateKey } from "@laburnumtrack/jobs/job_rows";
+import {
+  isFinal,
+  JobPhase,
+  type JobState,
+} from "@laburnumtrack/jobs/job_state";
+import { Err, Ok, type Result } from "ts-results";
+
+/** How a desk is set up. */
+export interface JobDeskOptions {
+  readonly clock: Clock;
+  readonly table: Table;
+}
+
+/** What became of a submission. */
+export enum Submission {
+  Stored = "stored",
+  /** A job of this id was stored before. */
+  Known = "known",
+}
+
+/** First pause before a call is tried again, in ms; it doubles. */
+const FIRST_PAUSE_MS = 40;
+const LONGEST_PAUSE_MS = 300;
+/** A table that turns calls away is given this long, in ms. */
+const TURNED_AWAY_MS = 1200;
+
+/**
+ * Takes jobs from callers, says how they stand, cancels them. Any entry VM
+ * does this, with the table alone: no leader is needed.
+ */
+export class JobDesk {
+  readonly #options: JobDeskOptions;
+
+  constructor(options: JobDeskOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Stores a job, once. `StoreUnavailable` and `RateLimited` mean that it is
+   * not stored and never will be, `OutcomeUnknown` that it may be.
+   */
+  async submit(
+    job: Job,
+    deadlineMs: number,
+  ): Promise<Result<Submission, Fault>> {
+    const state: JobState = {
+      phase: JobPhase.Queued,
+      queue: job.queue,
+      sinceMs: job.submittedMs,
+      steps: [],
+    };
+    const transaction = {
+      checks: [
+        { key: jobKey(job.id), revision: 0 },
+        { key: stateKey(job.id), revision: 0 },
+      ],
+      writes: [
+        { key: jobKey(job.id), value: JSON.stringify(job) },
+        { key: stateKey(job.id), value: JSON.stringify(state) },
+      ],
+    };
+    let isUncertain = false;
+    const outcome = await this.#retry(deadlineMs, async () => {
+      const done = await this.#options.table.commit(transaction);
+      if (done.ok) return Ok(Submission.Stored);
+      // The rows are there: of an earlier try, or of an earlier request.
+      if (done.val.code === FaultCode.Conflict) return Ok(Submission.Known);
+      if (done.val.code === FaultCode.OutcomeUnknown) isUncertain = true;
+      return done;
+    });
+    if (outcome.ok || !isUncertain) return outcome;
+    return Err(new Fault(FaultCode.OutcomeUnknown, job.id));
+  }
+
+  /** Phase of a job; `NotFound` when there is none. */
+  async readPhase(
+    id: string,
+    deadlineMs: number,
+  ): Promise<Result<JobPhase, Fault>> {
+    const state = await this.#retry(deadlineMs, () => this.#readState(id));
+    return state.map(({ state: { phase } }) => phase);
+  }
+
+  /** Cancels a job; `NotFound` when there is none. */
+  async cancel(id: string, deadlineMs: number): Promise<Result<void, Fault>> {
+    return await this.#retry(deadlineMs, async () => {
+      const found = await this.#readState(id);
+      if (found.err) return found;
+      const { state, revision } = found.val;
+      if (isFinal(state.phase)) return Ok(undefined);
+      const sinceMs = this.#options.clock.wallMs();
+      const next = { ...state, phase: JobPhase.Cancelled, sinceMs, steps: [] };
+      const done = await this.#options.table.commit({
+        checks: [{ key: stateKey(id), revision }],
+        writes: [
+          { key: stateKey(id), value: JSON.stringify(next) },
+          { key: jobKey(id), value: null },
+        ],
+      });
+      return done.ok ? Ok(undefined) : done;
+    });
+  }
+
+  async #readState(
+    id: string,
+  ): Promise<Result<{ state: JobState; revision: number }, Fault>> {
+    const read = await this.#options.table.get([stateKey(id)]);
+    if (read.err) return read;
+    const [row] = read.val;
+    if (row === undefined) return Err(new Fault(FaultCode.NotFound, id));
+    const state = readState(row);
+    if (state.err) return state;
+    return Ok({ state: state.val, revision: row.revision });
+  }
+
+  /** Tries until an outcome is certain or time is up. */
+  async #retry<T>(
+    deadlineMs: number,
+    attempt: () => Promise<Result<T, Fault>>,
+  ): Promise<Result<T, Fault>> {
+    const { clock } = this.#options;
+    const startMs = clock.nowMs();
+    let pauseMs = FIRST_PAUSE_MS;
+    for (;;) {
+      const outcome = await attempt();
+      if (outcome.ok || !isRetryable(outcome.val)) return outcome;
+      const limitMs = isTurnedAway(outcome.val)
+        ? Math.min(deadlineMs, startMs + TURNED_AWAY_MS)
+        : deadlineMs;
+      if (clock.nowMs() + pauseMs >= limitMs) return outcome;
+      await clock.sleep(pauseMs);
+      pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
+    }
+  }
+}
+
+function isRetryable({ code }: Fault): boolean {
+  return (
+    code === FaultCode.Conflict ||
+    code === FaultCode.StoreUnavailable ||
+    code === FaultCode.RateLimited ||
+    code === FaultCode.OutcomeUnknown
+  );
+}
+
+function isTurnedAway({ code }: Fault): boolean {
+  return code === FaultCode.StoreUnavailable || code === FaultCode.RateLimited;
+}
--- /dev/null
+++ b/packages/desk/src/queue_watch.ts
@@ -0,0 +1,70 @@
+import type { ChangedRow } from "@laburnumtrack/core/feed_table";
+import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import type { QueueSource } from "@laburnumtrack/jobs/worker_registry";
+import type { Journal } from "@laburnumtrack/process/journal";
+import {
+  RowFollower,
+  type RowFollowerOptions,
+} from "@laburnumtrack/process/row_follower";
+
+/** How a watch is set up. */
+export interface QueueWatchOptions
+  extends Omit<RowFollowerOptions, "prefix" | "listener"> {
+  readonly source: QueueSource;
+}
+
+const NO_QUEUES: QueueConfig = { version: 0, queues: [], pools: [] };
+
+/** Follows the operators' queues; it only ever moves to a higher version. */
+export class QueueWatch {
+  readonly #source: QueueSource;
+  readonly #journal: Journal;
+  readonly #follower: RowFollower;
+  #current = NO_QUEUES;
+
+  constructor({ source, ...options }: QueueWatchOptions) {
+    this.#source = source;
+    this.#journal = options.journal;
+    this.#follower = new RowFollower({
+      ...options,
+      prefix: source.prefix,
+      listener: {
+        onSnapshot: ({ rows }) => {
+          for (const row of rows) this.#onRow(row);
+        },
+        onChange: (row) => this.#onRow(row),
+      },
+    });
+  }
+
+  /** The version in force here; version 0: none was read yet. */
+  get current(): QueueConfig {
+    return this.#current;
+  }
+
+  /** Follows until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.#follower.run(signal);
+  }
+
+  #onRow({ key, value, revision }: ChangedRow): void {
+    if (key !== this.#source.key || value === undefined) return;
+    const config = this.#source.decode(value);
+    if (config.err) {
+      const cause = config.val.message;
+      this.#journal.error("A configuration cannot be read.", { cause });
+      return;
+    }
+    const { version, queues, pools } = config.val;
+    // Reads may be old.
+    if (version <= this.#current.version) return;
+    this.#journal.info("A new configuration is in force.", {
+      version,
+      former: this.#current.version,
+      revision,
+      queues: queues.length,
+      pools: pools.length,
+    });
+    this.#current = config.val;
+  }
+}
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -226,12 +226,102 @@
   ],
 };
 
+const ENTRY: SettingsSection = {
+  name: "entry",
+  help: "A process that takes jobs from callers and can lead.",
+  fields: [
+    {
+      key: "name",
+      kind: FieldKind.Name,
+      help: "Name of the process; the same after a restart, and unique.",
+    },
+    {
+      key: "failure_domain",
+      kind: FieldKind.Name,
+      help: "Failure domain that the VM stands in.",
+    },
+    {
+      key: "caller_address",
+      kind: FieldKind.Address,
+      help: "Where callers connect, behind the platform's balancer.",
+    },
+    {
+      key: "ready_address",
+      kind: FieldKind.Address,
+      help: "Where the balancer asks whether to send callers here.",
+    },
+    {
+      key: "admin_address",
+      kind: FieldKind.Address,
+      help: "Where monitoring asks.",
+    },
+    {
+      key: "table_url",
+      kind: FieldKind.Url,
+      help: "The platform's transactional table.",
+    },
+    {
+      key: "table_timeout_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 50,
+      max: 60_000,
+      fallback: "1000",
+      help: "Longest wait for an answer of the table.",
+    },
+    {
+      key: "order_timeout_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 50,
+      max: 60_000,
+      fallback: "500",
+      help: "Longest wait for a worker's answer to an order.",
+    },
+    {
+      key: "lease_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 1000,
+      max: 600_000,
+      fallback: "6000",
+      help: "Length of a worker's lease; the worker may allow less.",
+    },
+    {
+      key: "order_right_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 1000,
+      max: 600_000,
+      fallback: "8000",
+      help: "How long a leader orders without a word from the table.",
+    },
+    {
+      key: "shutdown_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 0,
+      max: 3_600_000,
+      fallback: "5000",
+      help: "Longest graceful shutdown; then what is left is cut off.",
+    },
+    {
+      key: "log_level",
+      kind: FieldKind.Choice,
+      choices: ["trace", "debug", "info", "warn", "error", "fatal"],
+      fallback: "info",
+      help: "Least level of the log lines written to standard output.",
+    },
+  ],
+};
+
 const BY_PROGRAM = new Map([
+  ["entry", [ENTRY]],
   ["gateway", [MEMBER, PLATFORM, MEMBERSHIP, GATEWAY]],
   ["scheduler", [MEMBER, PLATFORM, MEMBERSHIP, SCHEDULER]],
 ]);
 
-/** The sections that a program's settings have, `gateway` or `scheduler`. */
+/** The sections that a program's settings have; none for a name that is unknown. */
 export function listSettings(program: string): readonly SettingsSection[] {
   return BY_PROGRAM.get(program) ?? [];
 }
--- a/packages/fileset/src/settings_reference.ts
+++ b/packages/fileset/src/settings_reference.ts
@@ -20,7 +20,7 @@
 export function renderReference(): string {
   const seen = new Set<string>();
   const parts = [INTRODUCTION, "## Settings of the programs\n"];
-  for (const program of ["gateway", "scheduler"]) {
+  for (const program of ["gateway", "scheduler", "entry"]) {
     for (const section of listSettings(program)) {
       if (seen.has(section.name)) continue;
       seen.add(section.name);
--- a/packages/platform/src/json_client.ts
+++ b/packages/http_ports/src/json_client.ts
@@ -4,10 +4,12 @@
 
 /** A call and its body, which is sent as JSON unless it is text. */
 export interface Call {
-  readonly method: "GET" | "POST" | "PUT";
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly url: string;
   readonly body?: unknown;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Longest wait for a whole answer, in ms; else that of the client. */
+  readonly timeoutMs?: number;
 }
 
 /** An answer with its body as text. */
@@ -71,7 +73,7 @@
           ...call.headers,
         },
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(this.#timeoutMs),
+        signal: AbortSignal.timeout(call.timeoutMs ?? this.#timeoutMs),
       });
       return Ok(await this.#readAnswer(response));
     } catch (error) {
--- /dev/null
+++ b/packages/jobs/src/job_order.ts
@@ -0,0 +1,44 @@
+import { chainMs, type Job } from "./job";
+import type { JobRecord } from "./task";
+
+/** Objective of a job in ms from its submission. */
+export function objectiveMs(record: JobRecord): number {
+  const { queue, job } = record;
+  const { stretch, targetMs } = queue ?? { stretch: 1, targetMs: 0 };
+  return stretch * chainMs(job) + targetMs;
+}
+
+/** A job that is this many times over its objective has no worth left. */
+const WORTHLESS_FACTOR = 3;
+
+/** Which job is served first: lower is earlier, element by element. */
+export interface JobRank {
+  readonly isWorthless: boolean;
+  readonly priority: number;
+  /** Unix ms at which the job is due. */
+  readonly dueMs: number;
+}
+
+/** Ranks a job at a moment. */
+export function rankJob(record: JobRecord, wallMs: number): JobRank {
+  const objective = objectiveMs(record);
+  const fromMs = firstMs(record.job);
+  return {
+    isWorthless: wallMs > fromMs + WORTHLESS_FACTOR * objective,
+    priority: record.queue?.priority ?? Number.MAX_SAFE_INTEGER,
+    dueMs: fromMs + objective,
+  };
+}
+
+/** Orders two ranks. */
+export function compareRanks(a: JobRank, b: JobRank): number {
+  return (
+    Number(a.isWorthless) - Number(b.isWorthless) ||
+    a.priority - b.priority ||
+    a.dueMs - b.dueMs
+  );
+}
+
+function firstMs({ repeat, submittedMs }: Job): number {
+  return repeat === undefined ? submittedMs : repeat.startMs;
+}
--- /dev/null
+++ b/packages/jobs/src/job_record.ts
@@ -0,0 +1,116 @@
+import { countOccurrences, type Job } from "./job";
+import {
+  isFinal,
+  JobPhase,
+  type JobState,
+  type StepProgress,
+} from "./job_state";
+import type { Queue } from "./queue_config";
+import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
+
+/** How a record is made. */
+export interface JobRecordOptions {
+  readonly revision: number;
+  readonly queue: Queue | undefined;
+  /** What was stored of its progress; undefined: nothing. */
+  readonly state: JobState | undefined;
+  /** Runs get numbers above this. */
+  readonly runFloor: number;
+}
+
+/** Builds a job's record from its rows. */
+export function createJobRecord(
+  job: Job,
+  { revision, queue, state, runFloor }: JobRecordOptions,
+): JobRecord {
+  const record: JobRecord = {
+    job,
+    revision,
+    queue,
+    phase: state?.phase ?? JobPhase.Queued,
+    sinceMs: state?.sinceMs ?? job.submittedMs,
+    occurrences: [],
+    openSteps: 0,
+  };
+  const occurrences = countOccurrences(job);
+  for (let occurrence = 0; occurrence < occurrences; occurrence += 1) {
+    const steps = job.steps.map((step, number) => {
+      const stepRun: StepRun = {
+        record,
+        occurrence,
+        number,
+        step,
+        tasks: [],
+        doneCount: 0,
+      };
+      for (let index = 0; index < step.count; index += 1) {
+        stepRun.tasks.push(createTask(stepRun, index, runFloor));
+      }
+      return stepRun;
+    });
+    record.occurrences.push(steps);
+    record.openSteps += steps.length;
+  }
+  for (const progress of state?.steps ?? []) takeIn(record, progress);
+  for (const stepRun of record.occurrences.flat()) {
+    if (isStepDone(stepRun)) record.openSteps -= 1;
+  }
+  return record;
+}
+
+/** What the table is to hold of a record's progress. */
+export function stateOf(record: JobRecord): JobState {
+  const steps: StepProgress[] = [];
+  // A job that is over needs no progress any more.
+  const stepRuns = isFinal(record.phase) ? [] : record.occurrences.flat();
+  for (const stepRun of stepRuns) {
+    const done: number[] = [];
+    const failures: [number, number][] = [];
+    for (const task of stepRun.tasks) {
+      if (task.isDone) done.push(task.index);
+      else if (task.failures > 0) failures.push([task.index, task.failures]);
+    }
+    if (done.length === 0 && failures.length === 0) continue;
+    const { occurrence, number: step } = stepRun;
+    steps.push({ occurrence, step, done, failures });
+  }
+  const { phase, sinceMs, job } = record;
+  return { phase, queue: job.queue, sinceMs, steps };
+}
+
+/** Finds a task by its place; undefined when the job has none there. */
+export function findTask(
+  record: JobRecord,
+  place: { occurrence: number; step: number; index: number },
+): Task | undefined {
+  const stepRun = record.occurrences[place.occurrence]?.[place.step];
+  return stepRun?.tasks[place.index];
+}
+
+function createTask(stepRun: StepRun, index: number, runFloor: number): Task {
+  return {
+    stepRun,
+    index,
+    isDone: false,
+    failures: 0,
+    lastRun: runFloor,
+    checkpoint: "",
+    attempts: [],
+    notBeforeMs: Number.NEGATIVE_INFINITY,
+  };
+}
+
+function takeIn(record: JobRecord, progress: StepProgress): void {
+  const stepRun = record.occurrences[progress.occurrence]?.[progress.step];
+  if (stepRun === undefined) return;
+  for (const index of progress.done) {
+    const task = stepRun.tasks[index];
+    if (task === undefined || task.isDone) continue;
+    task.isDone = true;
+    stepRun.doneCount += 1;
+  }
+  for (const [index, count] of progress.failures) {
+    const task = stepRun.tasks[index];
+    if (task !== undefined) task.failures = count;
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job_rows.ts
@@ -0,0 +1,66 @@
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
+import type { Row } from "@laburnumtrack/core/table";
+import { Err, Ok, type Result } from "ts-results";
+import type { Job } from "./job";
+import type { JobState } from "./job_state";
+import type { Leadership } from "./leadership_row";
+
+/** Prefixes of the rows that the system keeps. */
+export enum RowPrefix {
+  /** Jobs that are not over, whole. */
+  Jobs = "jobs/",
+  /** State of each job, small; kept for some time after the job is over. */
+  States = "states/",
+  /** The leading scheduler: a single row. */
+  Leader = "leader/",
+}
+
+/** Key of the row of the leading scheduler. */
+export const LEADER_KEY = `${RowPrefix.Leader}current`;
+
+/** Key of a job's own row. */
+export function jobKey(id: string): string {
+  return `${RowPrefix.Jobs}${id}`;
+}
+
+/** Key of a job's state. */
+export function stateKey(id: string): string {
+  return `${RowPrefix.States}${id}`;
+}
+
+/** Id of the job that a key under {@linkcode RowPrefix} belongs to. */
+export function idOfKey(key: string): string {
+  return key.slice(key.indexOf("/") + 1);
+}
+
+/** Reads a job's row; `Malformed` when it is none. */
+export function readJob(row: Pick<Row, "value">): Result<Job, Fault> {
+  return parse<Job>(row.value, "steps");
+}
+
+/** Reads a state's row; `Malformed` when it is none. */
+export function readState(row: Pick<Row, "value">): Result<JobState, Fault> {
+  return parse<JobState>(row.value, "phase");
+}
+
+/** Reads the leader's row; `Malformed` when it is none. */
+export function readLeadership(
+  row: Pick<Row, "value">,
+): Result<Leadership, Fault> {
+  return parse<Leadership>(row.value, "epoch");
+}
+
+function parse<T extends object>(
+  text: string,
+  member: keyof T,
+): Result<T, Fault> {
+  try {
+    const value = JSON.parse(text) as T | null;
+    if (typeof value === "object" && value !== null && member in value) {
+      return Ok(value);
+    }
+  } catch {
+    // Falls through: the row was not written by this system.
+  }
+  return Err(new Fault(FaultCode.Malformed, text.slice(0, 80)));
+}
--- /dev/null
+++ b/packages/jobs/src/leadership_row.ts
@@ -0,0 +1,15 @@
+/** What the leading scheduler writes into its row, with every commit. */
+export interface Leadership {
+  /** Member that leads, or that led last. */
+  readonly holder: string;
+  /** Tells apart two lives of the same member. */
+  readonly instance: string;
+  /** Grows with each leader; workers refuse a lower one than they have seen. */
+  readonly epoch: number;
+  /** Grows with each commit of a leader. */
+  readonly sequence: number;
+  /** The holder sends nothing to workers any more. */
+  readonly isReleased: boolean;
+  /** Jobs of which nothing has started, by queue. */
+  readonly pending: Readonly<Record<string, number>>;
+}
--- /dev/null
+++ b/packages/jobs/src/start_planner.ts
@@ -0,0 +1,168 @@
+import { dueMsOf } from "./job";
+import type { JobBoard } from "./job_board";
+import { compareRanks, type JobRank, rankJob } from "./job_order";
+import { isFinal } from "./job_state";
+import {
+  type Attempt,
+  isStepDone,
+  isStepOpen,
+  type JobRecord,
+  type StepRun,
+  type Task,
+} from "./task";
+import { isFit, scoreFit } from "./worker_fit";
+import type { WorkerRecord } from "./worker_record";
+
+/** What a round of planning is given. */
+export interface PlanOptions {
+  readonly nowMs: number;
+  readonly wallMs: number;
+  /** Most starts of this round. */
+  readonly limit: number;
+  /** Whether new work may go to the worker. */
+  readonly isUsable: (worker: WorkerRecord) => boolean;
+  /** Whether it is certain where the job's runs are. */
+  readonly isSettled: (record: JobRecord) => boolean;
+}
+
+/**
+ * Chooses which tasks start now and where, most urgent job first. Each choice
+ * is counted on the board at once.
+ */
+export function planStarts(board: JobBoard, options: PlanOptions): Attempt[] {
+  const starts: Attempt[] = [];
+  const pools = listUsable(board, options);
+  for (const record of rankJobs(board, options)) {
+    const workers = pools.get(record.queue?.pool ?? "") ?? [];
+    if (workers.length === 0) continue;
+    for (const stepRun of listReadySteps(record, options.wallMs)) {
+      if (starts.length >= options.limit) return starts;
+      planStep(board, { stepRun, workers, starts, options });
+    }
+  }
+  return starts;
+}
+
+/** Steps of a job whose turn has come and that are not done. */
+export function listReadySteps(record: JobRecord, wallMs: number): StepRun[] {
+  const ready: StepRun[] = [];
+  for (const [occurrence, steps] of record.occurrences.entries()) {
+    if (dueMsOf(record.job, occurrence) > wallMs) continue;
+    for (const stepRun of steps) {
+      if (!isStepDone(stepRun) && isStepOpen(stepRun)) ready.push(stepRun);
+    }
+  }
+  return ready;
+}
+
+/** Whether a task waits for a start. */
+export function isWaiting(task: Task, nowMs: number): boolean {
+  return (
+    !task.isDone && task.attempts.length === 0 && task.notBeforeMs <= nowMs
+  );
+}
+
+interface StepPlan {
+  readonly stepRun: StepRun;
+  readonly workers: readonly WorkerRecord[];
+  readonly starts: Attempt[];
+  readonly options: PlanOptions;
+}
+
+function planStep(board: JobBoard, plan: StepPlan): void {
+  const { stepRun, options } = plan;
+  const waiting = stepRun.tasks.filter((task) =>
+    isWaiting(task, options.nowMs),
+  );
+  if (waiting.length === 0) return;
+  if (stepRun.step.isGang) {
+    planGang(board, plan, waiting);
+    return;
+  }
+  for (const task of waiting) {
+    if (plan.starts.length >= options.limit) return;
+    const worker = chooseWorker(stepRun, plan.workers);
+    // Its tasks are alike: where one does not fit, none does.
+    if (worker === undefined) return;
+    const run = task.lastRun + 1;
+    plan.starts.push(board.onSent(task, run, worker, options.nowMs));
+  }
+}
+
+/** Starts all members in one round, or none. */
+function planGang(
+  board: JobBoard,
+  { stepRun, workers, starts, options }: StepPlan,
+  waiting: readonly Task[],
+): void {
+  const open = stepRun.tasks.filter((task) => !task.isDone);
+  if (waiting.length < open.length) return;
+  const run = 1 + Math.max(...open.map(({ lastRun }) => lastRun));
+  const checkpoint = open.find((task) => task.checkpoint !== "")?.checkpoint;
+  const planned: Attempt[] = [];
+  for (const task of open) {
+    const worker = chooseWorker(stepRun, workers);
+    if (worker === undefined) {
+      for (const attempt of planned) {
+        board.onRefused(attempt, Number.NEGATIVE_INFINITY);
+      }
+      return;
+    }
+    task.checkpoint = checkpoint ?? "";
+    planned.push(board.onSent(task, run, worker, options.nowMs));
+  }
+  starts.push(...planned);
+}
+
+function chooseWorker(
+  stepRun: StepRun,
+  workers: readonly WorkerRecord[],
+): WorkerRecord | undefined {
+  const siblingRack = findSiblingRack(stepRun);
+  let best: WorkerRecord | undefined;
+  let bestScore = Number.NEGATIVE_INFINITY;
+  for (const worker of workers) {
+    if (!isFit(stepRun, worker)) continue;
+    const score = scoreFit(stepRun, worker, siblingRack);
+    if (score <= bestScore) continue;
+    best = worker;
+    bestScore = score;
+  }
+  return best;
+}
+
+function findSiblingRack(stepRun: StepRun): string {
+  if (!stepRun.step.isColocated) return "";
+  for (const { attempts } of stepRun.tasks) {
+    const [attempt] = attempts;
+    if (attempt !== undefined) return attempt.worker.info.rack;
+  }
+  return "";
+}
+
+function listUsable(
+  board: JobBoard,
+  { isUsable }: PlanOptions,
+): Map<string, WorkerRecord[]> {
+  const pools = new Map<string, WorkerRecord[]>();
+  for (const worker of board.workers.values()) {
+    if (!isUsable(worker)) continue;
+    const pool = pools.get(worker.info.pool);
+    if (pool === undefined) pools.set(worker.info.pool, [worker]);
+    else pool.push(worker);
+  }
+  return pools;
+}
+
+function rankJobs(
+  board: JobBoard,
+  { wallMs, isSettled }: PlanOptions,
+): JobRecord[] {
+  const ranked: { record: JobRecord; rank: JobRank }[] = [];
+  for (const record of board.jobs.values()) {
+    if (isFinal(record.phase) || !isSettled(record)) continue;
+    ranked.push({ record, rank: rankJob(record, wallMs) });
+  }
+  ranked.sort((a, b) => compareRanks(a.rank, b.rank));
+  return ranked.map(({ record }) => record);
+}
--- /dev/null
+++ b/packages/jobs/src/worker_record.ts
@@ -0,0 +1,65 @@
+import type { Attempt } from "./task";
+import type { RegisteredWorker } from "./task_worker";
+
+/** A worker in the leading scheduler's memory. */
+export class WorkerRecord {
+  readonly id: string;
+  info: RegisteredWorker;
+  /** Whether the registry lists it now. */
+  isRegistered = true;
+  /** Life that its reports are of; 0: none was received. */
+  bornMs = 0;
+  /** Whether it has answered this leader. */
+  hasReported = false;
+  /** Monotonic ms at which its last answered renewal was sent. */
+  reportMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic ms after which no lease that was granted is valid. */
+  lapseMs = Number.NEGATIVE_INFINITY;
+  /** Highest end that was taken in. */
+  lastEnd = 0;
+  /** Highest end whose effect is stored. */
+  storedEnd = 0;
+  readonly attempts = new Set<Attempt>();
+  /** Processor time reserved, in thousandths of a core. */
+  cpuMilli = 0;
+  memoryMb = 0;
+  accelerators = 0;
+  /** What fillers would use, in thousandths of a core. */
+  fillerMilli = 0;
+  /** Attempts that serve and have a target. */
+  serving = 0;
+  /** Monotonic ms until which it gets no new task. */
+  asideUntilMs = Number.NEGATIVE_INFINITY;
+  /** Failures in a row. */
+  failureStreak = 0;
+
+  constructor(info: RegisteredWorker) {
+    this.id = info.id;
+    this.info = info;
+  }
+
+  /** Counts an attempt in. */
+  add(attempt: Attempt): void {
+    this.attempts.add(attempt);
+    this.#count(attempt, 1);
+  }
+
+  /** Counts an attempt out. */
+  remove(attempt: Attempt): void {
+    if (this.attempts.delete(attempt)) this.#count(attempt, -1);
+  }
+
+  /** Processor time that nothing is meant to use, in thousandths of a core. */
+  get leftoverMilli(): number {
+    return this.info.capacity.cpuMilli - this.cpuMilli - this.fillerMilli;
+  }
+
+  #count({ task }: Attempt, sign: 1 | -1): void {
+    const { resources, isFiller, targetMs } = task.stepRun.step;
+    if (isFiller) this.fillerMilli += sign * resources.cpuMilli;
+    else this.cpuMilli += sign * resources.cpuMilli;
+    this.memoryMb += sign * resources.memoryMb;
+    this.accelerators += sign * resources.accelerators;
+    if (targetMs > 0) this.serving += sign;
+  }
+}
--- /dev/null
+++ b/packages/leader/src/progress_log.ts
@@ -0,0 +1,213 @@
+import type { Clock } from "@laburnumtrack/core/clock";
+import { type Fault, FaultCode } from "@laburnumtrack/core/fault";
+import { Signal } from "@laburnumtrack/core/signal";
+import type { Table, Write } from "@laburnumtrack/core/table";
+import { stateOf } from "@laburnumtrack/jobs/job_record";
+import {
+  jobKey,
+  LEADER_KEY,
+  readLeadership,
+  stateKey,
+} from "@laburnumtrack/jobs/job_rows";
+import { isFinal } from "@laburnumtrack/jobs/job_state";
+import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
+import type { JobRecord } from "@laburnumtrack/jobs/task";
+import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import type { Journal } from "@laburnumtrack/process/journal";
+import type { Metrics } from "@laburnumtrack/process/metrics";
+
+/** The leader's row as this process wrote it. */
+export interface HeldLeadership {
+  readonly row: Leadership;
+  readonly revision: number;
+}
+
+/** How a log is set up. */
+export interface ProgressLogOptions {
+  readonly clock: Clock;
+  readonly table: Table;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  readonly held: HeldLeadership;
+  /** Monotonic ms at which the leadership was written. */
+  readonly heldMs: number;
+  readonly workers: () => Iterable<WorkerRecord>;
+  readonly pending: () => Record<string, number>;
+  /** The job's end is stored. */
+  readonly onFinalStored: (record: JobRecord) => void;
+}
+
+/** Pause between two commits in which changes are gathered, in ms. */
+const GATHER_MS = 30;
+/** Longest time without a commit, in ms: followers wait for three. */
+const RENEW_MS = 400;
+/** Pause after a commit that the table turned away, in ms. */
+const RETRY_MS = 100;
+/** Jobs in one commit; the platform takes at most 100 entries, two a job. */
+const JOBS_PER_COMMIT = 45;
+
+/**
+ * Stores the progress of jobs. Each commit also writes the leader's row and
+ * demands that nobody else did, so a late commit of a former leader, or one of
+ * this leader that was overtaken, has no effect.
+ */
+export class ProgressLog {
+  readonly #options: ProgressLogOptions;
+  readonly #wake: Signal;
+  readonly #dirty = new Map<string, JobRecord>();
+  #held: HeldLeadership;
+  #confirmedMs: number;
+  #isLost = false;
+  #isFailing = false;
+
+  constructor(options: ProgressLogOptions) {
+    this.#options = options;
+    this.#wake = new Signal(options.clock);
+    this.#held = options.held;
+    this.#confirmedMs = options.heldMs;
+  }
+
+  /** Monotonic ms at which the last commit that took effect was sent. */
+  get confirmedMs(): number {
+    return this.#confirmedMs;
+  }
+
+  /** Whether another leader was seen. */
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
+  /** Row as last written. */
+  get row(): Leadership {
+    return this.#held.row;
+  }
+
+  /** Changes that wait for a commit. */
+  get backlog(): number {
+    return this.#dirty.size;
+  }
+
+  /** The job's state is to be stored. */
+  mark(record: JobRecord): void {
+    this.#dirty.set(record.job.id, record);
+    this.#wake.set();
+  }
+
+  /** Ends were taken in; workers may forget them after the next commit. */
+  wake(): void {
+    this.#wake.set();
+  }
+
+  /** Commits until `signal` is aborted or the leadership is lost. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted && !this.#isLost) {
+      const isStored = await this.commit({ isReleased: false });
+      const hasMore = this.#dirty.size >= JOBS_PER_COMMIT;
+      await clock.sleep(isStored ? GATHER_MS : RETRY_MS, signal);
+      if (isStored && !hasMore && this.#dirty.size === 0) {
+        await this.#wake.wait(RENEW_MS);
+      }
+    }
+  }
+
+  /** Commits once; `isReleased` ends the leadership. */
+  async commit({ isReleased }: { isReleased: boolean }): Promise<boolean> {
+    const { clock, table, metrics } = this.#options;
+    const batch = [...this.#dirty.values()].slice(0, JOBS_PER_COMMIT);
+    const isWhole = batch.length === this.#dirty.size;
+    const ends = isWhole ? this.#readEnds() : [];
+    for (const record of batch) this.#dirty.delete(record.job.id);
+    const row: Leadership = {
+      ...this.#held.row,
+      sequence: this.#held.row.sequence + 1,
+      isReleased,
+      pending: this.#options.pending(),
+    };
+    const finals = batch.filter(({ phase }) => isFinal(phase));
+    const sentMs = clock.nowMs();
+    const done = await table.commit({
+      checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
+      writes: [toWrite(row), ...batch.flatMap(writesOf)],
+    });
+    metrics.recordMs("progress_commit", clock.nowMs() - sentMs);
+    const revision = done.ok
+      ? done.val.revision
+      : await this.#resolve(row, done.val);
+    if (revision === undefined) {
+      for (const record of batch) this.#dirty.set(record.job.id, record);
+      return false;
+    }
+    this.#held = { row, revision };
+    this.#confirmedMs = sentMs;
+    for (const { worker, end, bornMs } of ends) {
+      if (worker.bornMs === bornMs) worker.storedEnd = end;
+    }
+    for (const record of finals) this.#options.onFinalStored(record);
+    this.#onStored();
+    return true;
+  }
+
+  /** Finds out what became of a commit that was not answered with success. */
+  async #resolve(row: Leadership, fault: Fault): Promise<number | undefined> {
+    const { table, journal } = this.#options;
+    if (!this.#isFailing) {
+      this.#isFailing = true;
+      journal.warn("Progress cannot be stored.", { cause: fault.message });
+    }
+    const isCertain =
+      fault.code === FaultCode.StoreUnavailable ||
+      fault.code === FaultCode.RateLimited;
+    if (isCertain) return undefined;
+    const read = await table.get([LEADER_KEY]);
+    if (read.err) return undefined;
+    const [current] = read.val;
+    if (current === undefined) return undefined;
+    const found = readLeadership(current);
+    if (found.err) return undefined;
+    const { instance, epoch, sequence } = found.val;
+    const isOwn =
+      instance === this.#held.row.instance && epoch === this.#held.row.epoch;
+    if (!isOwn) {
+      this.#isLost = true;
+      journal.warn("Another scheduler leads.", {
+        holder: found.val.holder,
+        epoch,
+        ownEpoch: this.#held.row.epoch,
+      });
+      return undefined;
+    }
+    // Its own commit took effect, only the answer was lost.
+    if (sequence === row.sequence) return current.revision;
+    return undefined;
+  }
+
+  #readEnds() {
+    return [...this.#options.workers()].map((worker) => ({
+      worker,
+      end: worker.lastEnd,
+      bornMs: worker.bornMs,
+    }));
+  }
+
+  #onStored(): void {
+    if (!this.#isFailing) return;
+    this.#isFailing = false;
+    this.#options.journal.info("Progress is stored again.", {
+      revision: this.#held.revision,
+    });
+  }
+}
+
+/** Write of the leader's row. */
+export function toWrite(row: Leadership): Write {
+  return { key: LEADER_KEY, value: JSON.stringify(row) };
+}
+
+function writesOf(record: JobRecord): Write[] {
+  const { id } = record.job;
+  const value = JSON.stringify(stateOf(record));
+  const state: Write = { key: stateKey(id), value };
+  if (!isFinal(record.phase)) return [state];
+  return [state, { key: jobKey(id), value: null }];
+}
--- /dev/null
+++ b/packages/leader/src/term.ts
@@ -0,0 +1,559 @@
+import type { Clock } from "@laburnumtrack/core/clock";
+import type {
+  ChangedRow,
+  FeedTable,
+  Snapshot,
+} from "@laburnumtrack/core/feed_table";
+import { Signal } from "@laburnumtrack/core/signal";
+import type { Job } from "@laburnumtrack/jobs/job";
+import { JobBoard, type StopRequest } from "@laburnumtrack/jobs/job_board";
+import {
+  idOfKey,
+  RowPrefix,
+  readJob,
+  readState,
+} from "@laburnumtrack/jobs/job_rows";
+import { isFinal, type JobState } from "@laburnumtrack/jobs/job_state";
+import { countPending } from "@laburnumtrack/jobs/pending_count";
+import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import { planStarts } from "@laburnumtrack/jobs/start_planner";
+import type { Attempt, JobRecord, Task } from "@laburnumtrack/jobs/task";
+import type { EndedRun, TaskWorker } from "@laburnumtrack/jobs/task_worker";
+import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
+import type { Journal } from "@laburnumtrack/process/journal";
+import type { Metrics } from "@laburnumtrack/process/metrics";
+import { RowFollower } from "@laburnumtrack/process/row_follower";
+import { OrderRight } from "./order_right";
+import { type HeldLeadership, ProgressLog } from "./progress_log";
+import { WorkerLink } from "./worker_link";
+
+/** What a term of leadership is given. */
+export interface TermOptions {
+  readonly clock: Clock;
+  readonly table: FeedTable;
+  readonly registry: WorkerRegistry;
+  readonly port: TaskWorker;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  /** Queues and pools in force on this process. */
+  readonly config: () => QueueConfig;
+  /** Length of a lease in ms. */
+  readonly leaseMs: number;
+  /** Right to order after the last commit, in ms. */
+  readonly rightMs: number;
+}
+
+/** The leadership that a term starts with. */
+export interface TermStart {
+  readonly held: HeldLeadership;
+  /** Monotonic ms at which the commit that took it was sent. */
+  readonly heldMs: number;
+  /** Monotonic ms at which that commit was known to have taken effect. */
+  readonly takenMs: number;
+  /** The former leader said that it sends nothing more. */
+  readonly wasReleased: boolean;
+}
+
+interface OpenLink {
+  readonly link: WorkerLink;
+  readonly gone: AbortController;
+}
+
+/** Pause between two rounds of planning, in ms. */
+const PLAN_PAUSE_MS = 5;
+/** Longest time without a round, in ms: due times and pauses are looked at. */
+const PLAN_IDLE_MS = 100;
+/** Starts in one round. */
+const PLAN_LIMIT = 64;
+/** A worker with no report for this long gets no new task, in ms. */
+const REPORT_AGE_MS = 2200;
+/** A worker's clock may be slow by 2%; the rest allows for the way. */
+const LAPSE_FACTOR = 1.05;
+const LAPSE_SLACK_MS = 200;
+/** Numbers of runs that are set aside for each epoch. */
+const RUNS_PER_EPOCH = 256;
+/** Pause after a table that did not answer at the start of a term, in ms. */
+const LOAD_RETRY_MS = 100;
+
+/** One leadership of this process: the board and the tasks that work on it. */
+export class Term {
+  readonly board: JobBoard;
+  readonly #options: TermOptions;
+  readonly #start: TermStart;
+  readonly #log: ProgressLog;
+  readonly #right: OrderRight;
+  readonly #plan: Signal;
+  readonly #links = new Map<string, OpenLink>();
+  readonly #states = new Map<string, JobState>();
+  readonly #over = new AbortController();
+  readonly #tasks = new Set<Promise<void>>();
+  readonly #stored = new Set<string>();
+  readonly #settledMs: number;
+  #isSettled = false;
+  #configVersion = 0;
+  #isFenced = false;
+
+  constructor(options: TermOptions, start: TermStart) {
+    this.#options = options;
+    this.#start = start;
+    const { clock, journal, metrics, table } = options;
+    const { epoch } = start.held.row;
+    this.#plan = new Signal(clock);
+    this.board = new JobBoard(
+      {
+        onChanged: (record) => this.#log.mark(record),
+        onStop: (stop) => this.#sendStop(stop),
+        onEnd: (task, ended, worker) => this.#onEnd(task, ended, worker),
+      },
+      (epoch - 1) * RUNS_PER_EPOCH,
+    );
+    this.#log = new ProgressLog({
+      clock,
+      table,
+      journal,
+      metrics,
+      held: start.held,
+      heldMs: start.heldMs,
+      workers: () => this.board.workers.values(),
+      pending: () => countPending(this.board),
+      onFinalStored: (record) => this.#stored.add(record.job.id),
+    });
+    this.#right = new OrderRight({
+      clock,
+      rightMs: options.rightMs,
+      confirmedMs: () => this.#log.confirmedMs,
+      onThaw: (pausedMs) => this.#onThaw(pausedMs),
+    });
+    // A worker that does not answer may run what a former leader gave it.
+    const rightMs = start.wasReleased ? 0 : options.rightMs;
+    const lapseMs = options.leaseMs * LAPSE_FACTOR + LAPSE_SLACK_MS;
+    this.#settledMs = start.takenMs + rightMs + lapseMs;
+  }
+
+  /** Row of the leader as last written. */
+  get row() {
+    return this.#log.row;
+  }
+
+  /** Leads until `signal` is aborted or another leader is seen. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { journal, clock } = this.#options;
+    const { epoch } = this.#start.held.row;
+    journal.info("Leading.", { epoch, wasReleased: this.#start.wasReleased });
+    const onAbort = () => this.#over.abort();
+    signal.addEventListener("abort", onAbort);
+    if (signal.aborted) onAbort();
+    const over = this.#over.signal;
+    const jobs = this.#followJobs();
+    const workers = this.#followWorkers();
+    this.#spawn(this.#log.run(over));
+    this.#spawn(this.#right.run(over));
+    const isLoaded = await this.#load([workers, jobs]);
+    if (isLoaded) {
+      journal.info("The jobs are read.", {
+        epoch,
+        jobs: this.board.jobs.size,
+        workers: this.board.workers.size,
+        tookMs: Math.round(clock.nowMs() - this.#start.heldMs),
+      });
+      this.#spawn(jobs.run(over));
+      this.#spawn(workers.run(over));
+      await this.#planUntilOver();
+    }
+    this.#over.abort();
+    this.#plan.set();
+    this.#log.wake();
+    await Promise.allSettled(this.#tasks);
+    signal.removeEventListener("abort", onAbort);
+    if (signal.aborted && !this.#isLost) await this.#release();
+    journal.info("Not leading any more.", { epoch, isLost: this.#isLost });
+  }
+
+  /** State for operators. */
+  dump(): object {
+    const { jobs, workers } = this.board;
+    return {
+      leader: this.#log.row,
+      backlog: this.#log.backlog,
+      isSettled: this.#isSettled,
+      jobs: [...jobs.values()].map((record) => ({
+        id: record.job.id,
+        queue: record.job.queue,
+        phase: record.phase,
+        openSteps: record.openSteps,
+      })),
+      workers: [...workers.values()].map((worker) => ({
+        id: worker.id,
+        isDraining: worker.info.isDraining,
+        isRegistered: worker.isRegistered,
+        cpuMilli: worker.cpuMilli,
+        fillerMilli: worker.fillerMilli,
+        memoryMb: worker.memoryMb,
+        attempts: worker.attempts.size,
+      })),
+    };
+  }
+
+  get #isLost(): boolean {
+    return this.#isFenced || this.#log.isLost;
+  }
+
+  async #load(followers: readonly RowFollower[]): Promise<boolean> {
+    const { table, clock } = this.#options;
+    while (!this.#over.signal.aborted && !this.#isLost) {
+      const states = await table.snapshot(RowPrefix.States);
+      if (states.ok) {
+        this.#onStates(states.val);
+        let isLoaded = true;
+        for (const follower of followers) {
+          isLoaded = isLoaded && (follower.isLoaded || (await follower.load()));
+        }
+        if (isLoaded) return true;
+      }
+      await clock.sleep(LOAD_RETRY_MS, this.#over.signal);
+    }
+    return false;
+  }
+
+  async #release(): Promise<void> {
+    const isReleased = await this.#log.commit({ isReleased: true });
+    this.#options.journal.info("Leadership handed back.", { isReleased });
+  }
+
+  async #planUntilOver(): Promise<void> {
+    const { clock } = this.#options;
+    while (!this.#over.signal.aborted && !this.#isLost) {
+      this.#planOnce();
+      await clock.sleep(PLAN_PAUSE_MS, this.#over.signal);
+      await this.#plan.wait(PLAN_IDLE_MS);
+    }
+  }
+
+  #planOnce(): void {
+    const { clock } = this.#options;
+    this.#sweep();
+    this.#followConfig();
+    if (!this.#right.isValid || !this.#checkSettled()) return;
+    const nowMs = clock.nowMs();
+    const starts = planStarts(this.board, {
+      nowMs,
+      wallMs: clock.wallMs(),
+      limit: PLAN_LIMIT,
+      isUsable: (worker) => this.#isUsable(worker, nowMs),
+      isSettled: () => true,
+    });
+    if (starts.length === 0) return;
+    this.#logStarts(starts);
+    for (const attempt of starts) this.#sendStart(attempt);
+    if (starts.length >= PLAN_LIMIT) this.#plan.set();
+  }
+
+  #isUsable(worker: WorkerRecord, nowMs: number): boolean {
+    return (
+      worker.isRegistered &&
+      worker.hasReported &&
+      !worker.info.isDraining &&
+      worker.asideUntilMs <= nowMs &&
+      nowMs - worker.reportMs < REPORT_AGE_MS
+    );
+  }
+
+  /** Whether it is certain where all runs are. */
+  #checkSettled(): boolean {
+    if (this.#isSettled) return true;
+    const { clock, journal } = this.#options;
+    const nowMs = clock.nowMs();
+    const silent: string[] = [];
+    for (const worker of this.board.workers.values()) {
+      if (!worker.hasReported) silent.push(worker.id);
+    }
+    if (silent.length > 0 && nowMs < this.#settledMs) return false;
+    this.#isSettled = true;
+    journal.info("All runs are known.", {
+      tookMs: Math.round(nowMs - this.#start.heldMs),
+      silent,
+    });
+    return true;
+  }
+
+  /** Jobs take their queue's terms from the newest version that has it. */
+  #followConfig(): void {
+    const { version, queues } = this.#options.config();
+    if (version === this.#configVersion) return;
+    this.#configVersion = version;
+    const byName = new Map(queues.map((queue) => [queue.name, queue]));
+    for (const record of this.board.jobs.values()) {
+      record.queue = byName.get(record.job.queue) ?? record.queue;
+    }
+  }
+
+  /** Forgets jobs that are over and workers that are gone. */
+  #sweep(): void {
+    for (const id of this.#stored) {
+      const record = this.board.jobs.get(id);
+      if (record !== undefined && hasAttempts(record)) continue;
+      this.board.dropJob(id);
+      this.#stored.delete(id);
+    }
+    for (const worker of this.board.workers.values()) {
+      if (worker.isRegistered || worker.attempts.size > 0) continue;
+      this.board.workers.delete(worker.id);
+      this.#links.get(worker.id)?.gone.abort();
+      this.#links.delete(worker.id);
+    }
+  }
+
+  #followJobs(): RowFollower {
+    const { clock, table, journal } = this.#options;
+    return new RowFollower({
+      clock,
+      table,
+      journal,
+      prefix: RowPrefix.Jobs,
+      listener: {
+        onSnapshot: (snapshot) => this.#onJobs(snapshot),
+        onChange: (row) => this.#onJobChange(row),
+      },
+    });
+  }
+
+  #followWorkers(): RowFollower {
+    const { clock, table, journal, registry } = this.#options;
+    return new RowFollower({
+      clock,
+      table,
+      journal,
+      prefix: registry.prefix,
+      listener: {
+        onSnapshot: (snapshot) => this.#onWorkers(snapshot),
+        onChange: (row) => {
+          this.#onWorkerRow(idIn(registry.prefix, row.key), row.value);
+          this.#plan.set();
+        },
+      },
+    });
+  }
+
+  #onStates({ rows }: Snapshot): void {
+    for (const row of rows) {
+      const state = readState(row);
+      if (state.ok) {
+        if (!isFinal(state.val.phase)) {
+          this.#states.set(idOfKey(row.key), state.val);
+        }
+      } else this.#onMalformed(row.key, state.val.message);
+    }
+  }
+
+  #onJobs({ rows, revision }: Snapshot): void {
+    const listed = new Set<string>();
+    for (const row of rows) {
+      listed.add(idOfKey(row.key));
+      this.#onJobChange(row);
+    }
+    for (const record of this.board.jobs.values()) {
+      const isGone = !listed.has(record.job.id) && record.revision <= revision;
+      if (isGone) this.#onCancelled(record.job.id);
+    }
+  }
+
+  #onJobChange(row: ChangedRow): void {
+    const id = idOfKey(row.key);
+    if (row.value === undefined) {
+      this.#onCancelled(id);
+      return;
+    }
+    if (this.board.jobs.has(id)) return;
+    const job = readJob({ value: row.value });
+    if (job.err) {
+      this.#onMalformed(row.key, job.val.message);
+      return;
+    }
+    this.#addJob(job.val, row.revision);
+  }
+
+  #addJob(job: Job, revision: number): void {
+    const { config, journal } = this.#options;
+    const state = this.#states.get(job.id);
+    this.#states.delete(job.id);
+    const queue = config().queues.find(({ name }) => name === job.queue);
+    const record = this.board.addJob(job, revision, { queue, state });
+    journal.info("A job is taken in.", {
+      job: job.id,
+      queue: job.queue,
+      revision,
+      phase: record.phase,
+      steps: job.steps.length,
+    });
+    this.#plan.set();
+  }
+
+  #onCancelled(id: string): void {
+    const wallMs = this.#options.clock.wallMs();
+    const record = this.board.cancelJob(id, wallMs);
+    if (record === undefined) return;
+    this.#options.journal.info("A job is cancelled.", { job: id });
+    this.#plan.set();
+  }
+
+  #onWorkers({ rows }: Snapshot): void {
+    const { prefix } = this.#options.registry;
+    const listed = new Set<string>();
+    for (const row of rows) {
+      const id = idIn(prefix, row.key);
+      listed.add(id);
+      this.#onWorkerRow(id, row.value);
+    }
+    for (const worker of this.board.workers.values()) {
+      if (!listed.has(worker.id)) this.#onWorkerRow(worker.id, undefined);
+    }
+  }
+
+  #onWorkerRow(id: string, value: string | undefined): void {
+    const { registry, journal } = this.#options;
+    const known = this.board.workers.get(id);
+    if (value === undefined) {
+      if (known === undefined || !known.isRegistered) return;
+      known.isRegistered = false;
+      journal.info("A worker left the registry.", { worker: id });
+      return;
+    }
+    const info = registry.decode(id, value);
+    if (info.err) {
+      this.#onMalformed(id, info.val.message);
+      return;
+    }
+    if (known !== undefined && info.val.isDraining !== known.info.isDraining) {
+      journal.info("A worker changed its state.", {
+        worker: id,
+        isDraining: info.val.isDraining,
+      });
+    }
+    const worker = this.board.addWorker(info.val);
+    if (known === undefined) this.#openLink(worker);
+  }
+
+  #openLink(worker: WorkerRecord): void {
+    const { clock, journal, metrics, port, leaseMs } = this.#options;
+    // What a former leader granted; its own grants move it on.
+    worker.lapseMs = this.#settledMs;
+    const link = new WorkerLink(worker, {
+      clock,
+      journal,
+      metrics,
+      board: this.board,
+      port,
+      epoch: this.#start.held.row.epoch,
+      leaseMs,
+      mayOrder: () => this.#right.isValid && !this.#isLost,
+      onFenced: () => this.#onFenced(worker.id),
+      onNews: () => {
+        this.#plan.set();
+        this.#log.wake();
+      },
+      onReport: () => {},
+    });
+    const gone = new AbortController();
+    this.#links.set(worker.id, { link, gone });
+    this.#spawn(this.#runLink(link, gone));
+  }
+
+  async #runLink(link: WorkerLink, gone: AbortController): Promise<void> {
+    const stop = () => gone.abort();
+    this.#over.signal.addEventListener("abort", stop);
+    if (this.#over.signal.aborted) stop();
+    await link.run(gone.signal);
+    this.#over.signal.removeEventListener("abort", stop);
+  }
+
+  #sendStart(attempt: Attempt): void {
+    const link = this.#links.get(attempt.worker.id)?.link;
+    if (link === undefined) {
+      this.board.onRefused(attempt, this.#options.clock.nowMs());
+      return;
+    }
+    this.#spawn(link.start(attempt));
+  }
+
+  #sendStop(stop: StopRequest): void {
+    const link = this.#links.get(stop.worker.id)?.link;
+    if (link !== undefined) this.#spawn(link.stop(stop));
+  }
+
+  #onEnd(task: Task, { end, run }: EndedRun, worker: WorkerRecord): void {
+    const { metrics, journal } = this.#options;
+    metrics.count(`ends{end="${end}"}`);
+    this.#plan.set();
+    if (end === "done") return;
+    journal.info("A run did not end as done.", {
+      job: task.stepRun.record.job.id,
+      step: task.stepRun.number,
+      task: task.index,
+      run,
+      end,
+      worker: worker.id,
+      failures: task.failures,
+    });
+  }
+
+  #logStarts(starts: readonly Attempt[]): void {
+    const byJob = new Map<string, string[]>();
+    for (const { task, run, worker } of starts) {
+      const { record, occurrence, number } = task.stepRun;
+      const place = `${occurrence}.${number}.${task.index}`;
+      const text = `${place} run ${run} on ${worker.id}`;
+      const texts = byJob.get(record.job.id);
+      if (texts === undefined) byJob.set(record.job.id, [text]);
+      else texts.push(text);
+    }
+    for (const [job, tasks] of byJob) {
+      this.#options.journal.info("Tasks are started.", { job, tasks });
+    }
+  }
+
+  #onFenced(worker: string): void {
+    if (this.#isFenced) return;
+    this.#isFenced = true;
+    const { epoch } = this.#start.held.row;
+    this.#options.journal.warn("A worker has seen a newer leader.", {
+      worker,
+      epoch,
+    });
+    this.#plan.set();
+  }
+
+  #onThaw(pausedMs: number): void {
+    this.#options.journal.warn("This process did not run for a while.", {
+      pausedMs: Math.round(pausedMs),
+    });
+    this.#log.wake();
+  }
+
+  #onMalformed(key: string, cause: string): void {
+    this.#options.journal.warn("A row cannot be read.", { key, cause });
+  }
+
+  /** Keeps a task of this term until it ends. */
+  #spawn(work: Promise<void>): void {
+    const task = work.catch((error: unknown) => {
+      this.#options.journal.error("A task of the leader failed.", {
+        error: error instanceof Error ? error.stack : String(error),
+      });
+    });
+    this.#tasks.add(task);
+    task.finally(() => this.#tasks.delete(task));
+  }
+}
+
+function hasAttempts(record: JobRecord): boolean {
+  return record.occurrences.some((steps) =>
+    steps.some(({ tasks }) =>
+      tasks.some(({ attempts }) => attempts.length > 0),
+    ),
+  );
+}
+
+function idIn(prefix: string, key: string): string {
+  return key.slice(prefix.length);
+}
--- a/packages/process/src/platform_ports.ts
+++ b/packages/process/src/platform_ports.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import { TokenRing } from "@laburnumtrack/core/token_ring";
 import { type Settings, sectionOf } from "@laburnumtrack/fileset/settings";
-import { HttpObjectStore } from "@laburnumtrack/platform/http_object_store";
-import { HttpTable } from "@laburnumtrack/platform/http_table";
-import { HttpVmList } from "@laburnumtrack/platform/http_vm_list";
-import { JsonClient } from "@laburnumtrack/platform/json_client";
+import { HttpObjectStore } from "@laburnumtrack/http_ports/http_object_store";
+import { HttpTable } from "@laburnumtrack/http_ports/http_table";
+import { HttpVmList } from "@laburnumtrack/http_ports/http_vm_list";
+import { JsonClient } from "@laburnumtrack/http_ports/json_client";
 import { ConfigWatch } from "./config_watch";
 import type { Journal } from "./journal";
 
--- a/packages/process/src/program.ts
+++ b/packages/process/src/program.ts
@@ -18,7 +18,7 @@
 
 /** A long-running program. */
 export interface Program {
-  /** `gateway` or `scheduler`: names its settings. */
+  /** `gateway`, `scheduler` or `entry`: names its settings. */
   readonly name: string;
   readonly summary: string;
   /** Runs until `signal` is aborted, then shuts down gracefully. */
--- /dev/null
+++ b/packages/process/src/row_follower.ts
@@ -0,0 +1,121 @@
+import type { Clock } from "@laburnumtrack/core/clock";
+import { FaultCode } from "@laburnumtrack/core/fault";
+import type {
+  ChangedRow,
+  FeedTable,
+  Snapshot,
+} from "@laburnumtrack/core/feed_table";
+import type { Journal } from "./journal";
+
+/** What is told of the rows under a prefix. */
+export interface RowListener {
+  /** All rows; those that are missing were deleted, or are newer. */
+  readonly onSnapshot: (snapshot: Snapshot) => void;
+  readonly onChange: (row: ChangedRow) => void;
+}
+
+/** How a follower is set up. */
+export interface RowFollowerOptions {
+  readonly clock: Clock;
+  readonly table: FeedTable;
+  readonly journal: Journal;
+  readonly prefix: string;
+  readonly listener: RowListener;
+}
+
+/** Longest wait of a call for changes: bounds how long a dead channel hides. */
+const FEED_WAIT_MS = 1000;
+/** Pause after a failed call. */
+const RETRY_MS = 150;
+
+/** Follows the rows under a prefix: a snapshot, then changes. */
+export class RowFollower {
+  readonly #options: RowFollowerOptions;
+  #revision: number | undefined;
+  #contactMs = Number.NEGATIVE_INFINITY;
+  #isLost = false;
+
+  constructor(options: RowFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Monotonic ms at which the last answered call was sent. */
+  get contactMs(): number {
+    return this.#contactMs;
+  }
+
+  /** Whether a snapshot was taken. */
+  get isLoaded(): boolean {
+    return this.#revision !== undefined;
+  }
+
+  /** Takes a snapshot now; false when the table does not answer. */
+  async load(): Promise<boolean> {
+    const { table, prefix, listener, clock } = this.#options;
+    const sentMs = clock.nowMs();
+    const read = await table.snapshot(prefix);
+    if (read.err) {
+      this.#onLost(read.val.message);
+      return false;
+    }
+    this.#onContact(sentMs);
+    // An old read must not take the follower back.
+    if (read.val.revision < (this.#revision ?? 0)) return false;
+    this.#revision = read.val.revision;
+    listener.onSnapshot(read.val);
+    return true;
+  }
+
+  /** Follows until `signal` is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const isWell = this.isLoaded
+        ? await this.#poll(signal)
+        : await this.load();
+      if (!isWell) await this.#options.clock.sleep(RETRY_MS, signal);
+    }
+  }
+
+  async #poll(signal: AbortSignal): Promise<boolean> {
+    const { table, prefix, listener, clock } = this.#options;
+    const sentMs = clock.nowMs();
+    const after = this.#revision ?? 0;
+    const read = await table.changes(prefix, after, FEED_WAIT_MS);
+    if (signal.aborted) return true;
+    if (read.err) {
+      if (read.val.code === FaultCode.HistoryLost) {
+        this.#options.journal.info("The history is gone; reading all rows.", {
+          prefix,
+          after,
+        });
+        return await this.#reload();
+      }
+      this.#onLost(read.val.message);
+      return false;
+    }
+    this.#onContact(sentMs);
+    for (const row of read.val.rows) listener.onChange(row);
+    this.#revision = Math.max(after, read.val.revision);
+    return true;
+  }
+
+  async #reload(): Promise<boolean> {
+    this.#revision = undefined;
+    return await this.load();
+  }
+
+  #onContact(sentMs: number): void {
+    this.#contactMs = sentMs;
+    if (!this.#isLost) return;
+    this.#isLost = false;
+    const { journal, prefix } = this.#options;
+    journal.info("The table answers again.", { prefix });
+  }
+
+  #onLost(cause: string): void {
+    if (this.#isLost) return;
+    this.#isLost = true;
+    const { journal, prefix } = this.#options;
+    journal.warn("The table does not answer.", { prefix, cause });
+  }
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -14,13 +14,16 @@
 }
 
 const given = process.argv.slice(2);
-const sources = given.length > 0 ? given : listTests("packages");
+const sources =
+  given.length > 0
+    ? given
+    : [...listTests("packages"), ...listTests("platform")];
 rmSync(OUT, { recursive: true, force: true });
 await build({
   ...BUNDLE,
   entryPoints: sources,
   outdir: OUT,
-  outbase: "packages",
+  outbase: ".",
   sourcemap: "inline",
 });
 const bundles = readdirSync(OUT, { recursive: true })
