feat(jobs): fillers give way to serving tasks by learnt pressure

Change: utilization is taken as load plus pressure by pairs of images, learnt by ridge regression over all reports; fillers are placed where room is left, and yield one relief at a time.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -36,6 +36,14 @@
   readonly onEnd: (task: Task, ended: EndedRun, worker: WorkerRecord) => void;
 }
 
+/** How a board is set up. */
+export interface BoardOptions {
+  /** Runs get numbers above this. */
+  readonly runFloor: number;
+  /** Monotonic ms from which every job that may have run is known. */
+  readonly completeMs: number;
+}
+
 /** Pause before a task is started again after a failure, in ms. */
 const RETRY_PAUSE_MS = 100;
 /** A start without an answer is given up after this long, in ms. */
@@ -53,14 +61,13 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly workers = new Map<string, WorkerRecord>();
   readonly #listener: BoardListener;
-  readonly #runFloor: number;
+  readonly #options: BoardOptions;
   /** Runs of unknown jobs, with the time at which they were first seen. */
   readonly #strangers = new Map<string, number>();
 
-  /** Runs get numbers above `runFloor`. */
-  constructor(listener: BoardListener, runFloor: number) {
+  constructor(listener: BoardListener, options: BoardOptions) {
     this.#listener = listener;
-    this.#runFloor = runFloor;
+    this.#options = options;
   }
 
   /** Takes in a job; a job that is known already stays as it is. */
@@ -75,7 +82,7 @@
       revision,
       queue: options.queue,
       state: options.state,
-      runFloor: this.#runFloor,
+      runFloor: this.#options.runFloor,
     });
     this.jobs.set(job.id, record);
     return record;
@@ -139,6 +146,9 @@
     worker.reportMs = times.sentMs;
     for (const ended of report.ended) {
       if (ended.number <= worker.lastEnd) continue;
+      const isKnown = this.jobs.has(ended.task.jobId);
+      // The worker has to report it again, once its job is known.
+      if (!isKnown && times.nowMs < this.#options.completeMs) break;
       worker.lastEnd = ended.number;
       this.#onEnded(worker, ended, times);
     }
--- /dev/null
+++ b/packages/jobs/src/pressure_relief.ts
@@ -0,0 +1,92 @@
+import { listFillers, listServing, type PressureModel } from "./pressure_model";
+import { type Attempt, AttemptPhase } from "./task";
+import type { WorkerRecord } from "./worker_record";
+
+/** What is done about a filler. */
+export enum Relief {
+  /** It may work at full speed again. */
+  Release = "release",
+  /** It stands still where it is. */
+  Pause = "pause",
+  /** It is stopped and starts again elsewhere from its checkpoint. */
+  Move = "move",
+}
+
+/** A decision about one filler. */
+export interface ReliefOrder {
+  readonly filler: Attempt;
+  readonly relief: Relief;
+  /** Measured tail over its target, of the worst off serving task. */
+  readonly ratio: number;
+}
+
+/** Measured tail over its target from which fillers give way. */
+const PRESSED_RATIO = 1;
+/** Measured tail over its target below which a filler may go on. */
+const RELEASE_RATIO = 0.6;
+/** Room below its limit that relief is to leave a serving task. */
+const SPARE_ROOM = 0.05;
+
+/** A measured tail shows relief after this time, in ms. */
+const SETTLE_MS = 700;
+
+/**
+ * Says which fillers give way on a worker whose serving tasks miss their
+ * target or are about to, those that press most first, and which go on.
+ */
+export function planRelief(
+  model: PressureModel,
+  worker: WorkerRecord,
+  nowMs: number,
+): ReliefOrder[] {
+  const fillers = listFillers(worker);
+  if (fillers.length === 0 || nowMs - worker.relievedMs < SETTLE_MS) return [];
+  const serving = listServing(worker).filter(({ percent }) => percent === 100);
+  let worst = 0;
+  const orders = new Map<Attempt, ReliefOrder>();
+  for (const attempt of serving) {
+    const ratio = attempt.figure / attempt.task.stepRun.step.targetMs;
+    worst = Math.max(worst, ratio);
+    if (ratio < PRESSED_RATIO) continue;
+    for (const filler of chooseYielding(model, attempt, fillers)) {
+      const relief = canMove(filler) ? Relief.Move : Relief.Pause;
+      orders.set(filler, { filler, relief, ratio });
+    }
+  }
+  if (orders.size > 0) worker.relievedMs = nowMs;
+  if (worst > RELEASE_RATIO) return [...orders.values()];
+  for (const filler of fillers) {
+    if (filler.pacePercent === 100) continue;
+    if (model.roomFor(filler.task.stepRun.step, worker) < 0) continue;
+    orders.set(filler, { filler, relief: Relief.Release, ratio: worst });
+    // One at a time: the next report shows what it did.
+    break;
+  }
+  return [...orders.values()];
+}
+
+/** The fillers that have to yield until a serving task has room again. */
+function chooseYielding(
+  model: PressureModel,
+  serving: Attempt,
+  fillers: readonly Attempt[],
+): Attempt[] {
+  const active = fillers
+    .filter(({ pacePercent }) => pacePercent > 0)
+    .map((filler) => ({ filler, share: model.shareOf(filler, serving) }))
+    .sort((a, b) => b.share - a.share);
+  let excess =
+    model.utilizationOf(serving) - model.limitOf(serving) + SPARE_ROOM;
+  const chosen: Attempt[] = [];
+  for (const { filler, share } of active) {
+    // The measured tail counts for more than the model: one yields at least.
+    if (excess <= 0 && chosen.length > 0) break;
+    chosen.push(filler);
+    excess -= share;
+  }
+  return chosen;
+}
+
+function canMove({ task, phase }: Attempt): boolean {
+  return task.stepRun.step.isCheckpointing && phase === AttemptPhase.Running;
+}
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -2,6 +2,7 @@
 import type { JobBoard } from "./job_board";
 import { compareRanks, type JobRank, rankJob } from "./job_order";
 import { isFinal } from "./job_state";
+import type { PressureModel } from "./pressure_model";
 import {
   type Attempt,
   isStepDone,
@@ -19,6 +20,7 @@
   readonly wallMs: number;
   /** Most starts of this round. */
   readonly limit: number;
+  readonly model: PressureModel;
   /** Whether new work may go to the worker. */
   readonly isUsable: (worker: WorkerRecord) => boolean;
   /** Whether it is certain where the job's runs are. */
@@ -81,7 +83,7 @@
   }
   for (const task of waiting) {
     if (plan.starts.length >= options.limit) return;
-    const worker = chooseWorker(stepRun, plan.workers);
+    const worker = chooseWorker(stepRun, plan.workers, options.model);
     // Its tasks are alike: where one does not fit, none does.
     if (worker === undefined) return;
     const run = task.lastRun + 1;
@@ -101,7 +103,7 @@
   const checkpoint = open.find((task) => task.checkpoint !== "")?.checkpoint;
   const planned: Attempt[] = [];
   for (const task of open) {
-    const worker = chooseWorker(stepRun, workers);
+    const worker = chooseWorker(stepRun, workers, options.model);
     if (worker === undefined) {
       for (const attempt of planned) {
         board.onRefused(attempt, Number.NEGATIVE_INFINITY);
@@ -117,13 +119,14 @@
 function chooseWorker(
   stepRun: StepRun,
   workers: readonly WorkerRecord[],
+  model: PressureModel,
 ): WorkerRecord | undefined {
-  const siblingRack = findSiblingRack(stepRun);
+  const context = { siblingRack: findSiblingRack(stepRun), model };
   let best: WorkerRecord | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   for (const worker of workers) {
-    if (!isFit(stepRun, worker)) continue;
-    const score = scoreFit(stepRun, worker, siblingRack);
+    if (!isFit(stepRun, worker, model)) continue;
+    const score = scoreFit(stepRun, worker, context);
     if (score <= bestScore) continue;
     best = worker;
     bestScore = score;
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -1,4 +1,5 @@
 import type { Step } from "./job";
+import { listFillers, listServing, type PressureModel } from "./pressure_model";
 import type { StepRun } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -6,13 +7,23 @@
 const DATA_RACK_SCORE = 4;
 /** Worth of standing in the rack of the step's other tasks, in scores. */
 const SIBLING_RACK_SCORE = 4;
-/** Cost of a filler beside a serving task, or the other way round. */
-const PRESSURE_SCORE = 2;
+/** Worth of room that a filler leaves the serving tasks beside it. */
+const ROOM_SCORE = 2;
+/** Room below which a filler is not put beside a serving task. */
+const LEAST_ROOM = 0.05;
+/** Worth of standing beside serving tasks of the same image only. */
+const SAME_IMAGE_SCORE = 1;
+/** Cost of pressure that a serving task would meet. */
+const PRESSED_SCORE = 1;
 /** Cost of each task of the same lasting step on the worker. */
 const SAME_STEP_SCORE = 0.25;
 
 /** Whether a task of the step fits on the worker now. */
-export function isFit(stepRun: StepRun, worker: WorkerRecord): boolean {
+export function isFit(
+  stepRun: StepRun,
+  worker: WorkerRecord,
+  model: PressureModel,
+): boolean {
   const { step } = stepRun;
   const { capacity, labels } = worker.info;
   const { cpuMilli, memoryMb, accelerators } = step.resources;
@@ -24,15 +35,27 @@
   if (!step.isFiller && worker.cpuMilli + cpuMilli > capacity.cpuMilli) {
     return false;
   }
-  if (step.perWorkerLimit === 0) return true;
-  return countOnWorker(stepRun, worker) < step.perWorkerLimit;
+  if (
+    step.perWorkerLimit > 0 &&
+    countOnWorker(stepRun, worker) >= step.perWorkerLimit
+  ) {
+    return false;
+  }
+  return !step.isFiller || model.roomFor(step, worker) >= LEAST_ROOM;
+}
+
+/** What a score depends on besides step and worker. */
+export interface FitContext {
+  /** Rack of the step's other tasks; empty when it does not matter. */
+  readonly siblingRack: string;
+  readonly model: PressureModel;
 }
 
 /** How well a task of the step would stand on the worker; higher is better. */
 export function scoreFit(
   stepRun: StepRun,
   worker: WorkerRecord,
-  siblingRack: string,
+  { siblingRack, model }: FitContext,
 ): number {
   const { step } = stepRun;
   const { capacity, rack } = worker.info;
@@ -42,7 +65,8 @@
   if (step.isColocated && siblingRack !== "" && siblingRack === rack) {
     score += SIBLING_RACK_SCORE;
   }
-  score -= pressureOf(step, worker) * PRESSURE_SCORE;
+  if (step.isFiller) score += model.roomFor(step, worker) * ROOM_SCORE;
+  if (step.targetMs > 0) score += scoreServing(step, worker, model);
   if (step.isLongRunning) {
     score -= countOnWorker(stepRun, worker) * SAME_STEP_SCORE;
   }
@@ -61,11 +85,26 @@
   );
 }
 
-/** 1 where the step would press on a serving task or be pressed, else 0. */
-function pressureOf(step: Step, worker: WorkerRecord): number {
-  if (step.isFiller && worker.serving > 0) return 1;
-  if (step.targetMs > 0 && worker.fillerMilli > 0) return 1;
-  return 0;
+/** Serving tasks of one image stand together, away from what presses. */
+function scoreServing(
+  step: Step,
+  worker: WorkerRecord,
+  model: PressureModel,
+): number {
+  let score = 0;
+  const images = new Set<string>();
+  for (const { task } of listServing(worker)) {
+    images.add(task.stepRun.step.image);
+  }
+  if (images.has(step.image)) score += SAME_IMAGE_SCORE;
+  images.delete(step.image);
+  score -= images.size * SAME_IMAGE_SCORE;
+  for (const { task } of listFillers(worker)) {
+    const { image, resources } = task.stepRun.step;
+    const share = resources.cpuMilli / worker.info.capacity.cpuMilli;
+    score -= model.pressureOf(image, step.image) * share * PRESSED_SCORE;
+  }
+  return score;
 }
 
 function countOnWorker(stepRun: StepRun, worker: WorkerRecord): number {
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -30,6 +30,8 @@
   serving = 0;
   /** Monotonic ms until which it gets no new task. */
   asideUntilMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic ms at which fillers last gave way here. */
+  relievedMs = Number.NEGATIVE_INFINITY;
   /** Failures in a row. */
   failureStreak = 0;
 
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -15,6 +15,8 @@
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, type JobState } from "@laburnumtrack/jobs/job_state";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
+import { listFillers, PressureModel } from "@laburnumtrack/jobs/pressure_model";
+import { planRelief, Relief } from "@laburnumtrack/jobs/pressure_relief";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, JobRecord, Task } from "@laburnumtrack/jobs/task";
@@ -71,8 +73,14 @@
 /** A worker's clock may be slow by 2%; the rest allows for the way. */
 const LAPSE_FACTOR = 1.05;
 const LAPSE_SLACK_MS = 200;
+/** A job that a former leader has started is in the feed by then, in ms. */
+const FEED_LAG_MS = 3000;
 /** Numbers of runs that are set aside for each epoch. */
 const RUNS_PER_EPOCH = 256;
+/** Time between two lines on what is held, in ms. */
+const REPORT_MS = 10_000;
+/** Pause after a fault of this program in a worker's link, in ms. */
+const LINK_RESTART_MS = 100;
 /** Pause after a table that did not answer at the start of a term, in ms. */
 const LOAD_RETRY_MS = 100;
 
@@ -84,6 +92,7 @@
   readonly #log: ProgressLog;
   readonly #right: OrderRight;
   readonly #plan: Signal;
+  readonly #model = new PressureModel();
   readonly #links = new Map<string, OpenLink>();
   readonly #states = new Map<string, JobState>();
   readonly #over = new AbortController();
@@ -106,7 +115,10 @@
         onStop: (stop) => this.#sendStop(stop),
         onEnd: (task, ended, worker) => this.#onEnd(task, ended, worker),
       },
-      (epoch - 1) * RUNS_PER_EPOCH,
+      {
+        runFloor: (epoch - 1) * RUNS_PER_EPOCH,
+        completeMs: start.takenMs + FEED_LAG_MS,
+      },
     );
     this.#log = new ProgressLog({
       clock,
@@ -149,7 +161,9 @@
     const workers = this.#followWorkers();
     this.#spawn(this.#log.run(over));
     this.#spawn(this.#right.run(over));
-    const isLoaded = await this.#load([workers, jobs]);
+    this.#spawn(this.#report(over));
+    // Jobs come first: reports are about jobs that must be known.
+    const isLoaded = await this.#load([jobs, workers]);
     if (isLoaded) {
       journal.info("The jobs are read.", {
         epoch,
@@ -177,6 +191,7 @@
       leader: this.#log.row,
       backlog: this.#log.backlog,
       isSettled: this.#isSettled,
+      pressures: this.#dumpPressures(),
       jobs: [...jobs.values()].map((record) => ({
         id: record.job.id,
         queue: record.job.queue,
@@ -230,6 +245,21 @@
     }
   }
 
+  /** Writes what was learnt and how much is held, now and then. */
+  async #report(signal: AbortSignal): Promise<void> {
+    const { clock, journal } = this.#options;
+    while (!signal.aborted) {
+      await clock.sleep(REPORT_MS, signal);
+      journal.info("Holding.", {
+        epoch: this.#start.held.row.epoch,
+        jobs: this.board.jobs.size,
+        workers: this.board.workers.size,
+        backlog: this.#log.backlog,
+        pressures: this.#dumpPressures(),
+      });
+    }
+  }
+
   #planOnce(): void {
     const { clock } = this.#options;
     this.#sweep();
@@ -240,6 +270,7 @@
       nowMs,
       wallMs: clock.wallMs(),
       limit: PLAN_LIMIT,
+      model: this.#model,
       isUsable: (worker) => this.#isUsable(worker, nowMs),
       isSettled: () => true,
     });
@@ -452,7 +483,7 @@
         this.#plan.set();
         this.#log.wake();
       },
-      onReport: () => {},
+      onReport: (reported) => this.#relieve(reported),
     });
     const gone = new AbortController();
     this.#links.set(worker.id, { link, gone });
@@ -463,7 +494,15 @@
     const stop = () => gone.abort();
     this.#over.signal.addEventListener("abort", stop);
     if (this.#over.signal.aborted) stop();
-    await link.run(gone.signal);
+    while (!gone.signal.aborted) {
+      try {
+        await link.run(gone.signal);
+      } catch (error) {
+        // Without renewals all that runs on the worker would end.
+        this.#onFailure(error);
+        await this.#options.clock.sleep(LINK_RESTART_MS, gone.signal);
+      }
+    }
     this.#over.signal.removeEventListener("abort", stop);
   }
 
@@ -481,6 +520,32 @@
     if (link !== undefined) this.#spawn(link.stop(stop));
   }
 
+  /** Lets fillers give way to the serving tasks of a worker. */
+  #relieve(worker: WorkerRecord): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#model.observe(worker, nowMs);
+    for (const order of planRelief(this.#model, worker, nowMs)) {
+      const { filler, relief, ratio } = order;
+      const { stepRun, index } = filler.task;
+      this.#options.journal.info("A filler changes its pace.", {
+        job: stepRun.record.job.id,
+        step: stepRun.number,
+        task: index,
+        worker: worker.id,
+        relief,
+        ratio: Math.round(ratio * 100) / 100,
+      });
+      this.#options.metrics.count(`reliefs{relief="${relief}"}`);
+      if (relief === Relief.Move) {
+        this.board.stop(filler, "presses on a serving task");
+        continue;
+      }
+      const link = this.#links.get(worker.id)?.link;
+      const percent = relief === Relief.Pause ? 0 : 100;
+      if (link !== undefined) this.#spawn(link.pace(filler, percent));
+    }
+  }
+
   #onEnd(task: Task, { end, run }: EndedRun, worker: WorkerRecord): void {
     const { metrics, journal } = this.#options;
     metrics.count(`ends{end="${end}"}`);
@@ -534,13 +599,25 @@
     this.#options.journal.warn("A row cannot be read.", { key, cause });
   }
 
+  #dumpPressures(): object {
+    const images = new Set<string>();
+    for (const worker of this.board.workers.values()) {
+      for (const { task } of listFillers(worker)) {
+        images.add(task.stepRun.step.image);
+      }
+    }
+    return this.#model.dump(images);
+  }
+
+  #onFailure(error: unknown): void {
+    this.#options.journal.error("A task of the leader failed.", {
+      error: error instanceof Error ? error.stack : String(error),
+    });
+  }
+
   /** Keeps a task of this term until it ends. */
   #spawn(work: Promise<void>): void {
-    const task = work.catch((error: unknown) => {
-      this.#options.journal.error("A task of the leader failed.", {
-        error: error instanceof Error ? error.stack : String(error),
-      });
-    });
+    const task = work.catch((error: unknown) => this.#onFailure(error));
     this.#tasks.add(task);
     task.finally(() => this.#tasks.delete(task));
   }
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -36,6 +36,8 @@
 
 /** Longest wait of a renewal for an end, in whole ms. */
 const RENEW_WAIT_MS = 900;
+/** The same for a worker on which fillers may press on serving tasks. */
+const PRESSED_WAIT_MS = 350;
 /** Pause between renewals while ends wait to be stored, in ms. */
 const UNSTORED_PAUSE_MS = 50;
 /** Longest pause for ends to be stored before the next renewal, in ms. */
@@ -183,7 +185,7 @@
       epoch,
       acknowledged: worker.storedEnd,
       leaseUntilMs,
-      waitMs: isQuick ? 0 : RENEW_WAIT_MS,
+      waitMs: isQuick ? 0 : this.#waitMs,
     });
     if (signal.aborted) return false;
     metrics.count("renewals");
@@ -195,6 +197,11 @@
     return true;
   }
 
+  get #waitMs(): number {
+    const { serving, fillerMilli } = this.worker;
+    return serving > 0 && fillerMilli > 0 ? PRESSED_WAIT_MS : RENEW_WAIT_MS;
+  }
+
   #onReport(report: WorkerReport, sentMs: number): void {
     const { clock, board, journal, onNews, onReport } = this.#options;
     const { worker } = this;
