--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -189,6 +189,10 @@
     attempt.missing = 0;
     attempt.percent = running.percent;
     attempt.figure = running.figure;
+    const { targetMs } = task.stepRun.step;
+    if (targetMs === 0 || running.figure <= targetMs) {
+      attempt.overSinceMs = undefined;
+    } else attempt.overSinceMs ??= nowMs;
     if (running.checkpoint !== "") task.checkpoint = running.checkpoint;
     const isUnwanted = isFinal(record.phase) || task.isDone;
     if (isUnwanted || attempt.phase === AttemptPhase.Stopping) {
@@ -354,6 +358,7 @@
       confirmedMs: undefined,
       pacePercent: 100,
       figure: 0,
+      overSinceMs: undefined,
       percent: 0,
       missing: 0,
       stoppedMs: undefined,
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -1,5 +1,5 @@
 import { chainMs, type Job } from "./job";
-import type { JobRecord } from "./task";
+import type { JobRecord, StepRun } from "./task";
 
 /** Objective of a job in ms from its submission. */
 export function objectiveMs(record: JobRecord): number {
@@ -8,6 +8,19 @@
   return stretch * chainMs(job) + targetMs;
 }
 
+/** Length of the longest chain that begins with the step, in ms. */
+export function remainingMs(stepRun: StepRun): number {
+  const { steps } = stepRun.record.job;
+  let longest = 0;
+  for (const [number, step] of steps.entries()) {
+    if (number > stepRun.number && step.after.includes(stepRun.number)) {
+      const next = stepRun.record.occurrences[stepRun.occurrence]?.[number];
+      if (next !== undefined) longest = Math.max(longest, remainingMs(next));
+    }
+  }
+  return stepRun.step.estimateMs + longest;
+}
+
 /** A job that is this many times over its objective has no worth left. */
 const WORTHLESS_FACTOR = 3;
 
--- a/packages/jobs/src/pressure_model.ts
+++ b/packages/jobs/src/pressure_model.ts
@@ -8,7 +8,7 @@
 /** Pressure on a serving image before anything is known of it. */
 const DEFAULT_PRESSURE = 0.7;
 /** Weight of a new figure in the estimate of a task's load. */
-const LOAD_SHARE = 0.3;
+const LOAD_SHARE = 0.4;
 /** Bounds of the estimate of a task's own load. */
 const LEAST_LOAD = 0.1;
 const MOST_LOAD = 0.8;
@@ -16,8 +16,10 @@
 const SATURATED = 0.93;
 /** Utilization that stands for any that is saturated. */
 const OVERLOADED = 1.1;
-/** A tail at its best is this part of the least one seen. */
-const BEST_TAIL_FACTOR = 0.75;
+/** Utilization over the limit at which a task is sure to miss its target. */
+const SURE_EXCESS = 0.12;
+/** Change of utilization that changes the risk by a factor of e. */
+const RISK_SCALE = 0.1;
 /** Time between two solutions of a model, in ms. */
 const SOLVE_MS = 500;
 
@@ -74,23 +76,26 @@
     const { image, targetMs } = task.stepRun.step;
     const best = this.#images.get(image)?.bestTailMs;
     if (best === undefined || best >= targetMs) return SATURATED;
-    return Math.min(SATURATED, 1 - (best * BEST_TAIL_FACTOR) / targetMs);
+    return Math.min(SATURATED, 1 - best / targetMs);
   }
 
-  /**
-   * Room that the worst off serving task of a worker keeps below its limit
-   * when a filler is added; negative when it would miss its target.
-   */
-  roomFor(step: Step, worker: WorkerRecord): number {
-    let room = 1;
+  /** Risk that a serving task misses its target, 0 to 1. */
+  riskAt(attempt: Attempt, utilization: number): number {
+    const excess = utilization - this.limitOf(attempt) - SURE_EXCESS;
+    return Math.min(1, Math.exp(excess / RISK_SCALE));
+  }
+
+  /** Serving tasks of a worker that a filler of the step would push over. */
+  harmOf(step: Step, worker: WorkerRecord): number {
     const share = step.resources.cpuMilli / worker.info.capacity.cpuMilli;
+    let harm = 0;
     for (const attempt of listServing(worker)) {
       const { image } = attempt.task.stepRun.step;
-      const added = this.pressureOf(step.image, image) * share;
-      const left = this.limitOf(attempt) - this.utilizationOf(attempt) - added;
-      room = Math.min(room, left);
+      const before = this.utilizationOf(attempt);
+      const after = before + this.pressureOf(step.image, image) * share;
+      harm += this.riskAt(attempt, after) - this.riskAt(attempt, before);
     }
-    return room;
+    return harm;
   }
 
   /** What one filler adds to the utilization of a serving task now. */
@@ -124,7 +129,7 @@
   #learn(attempt: Attempt, fillers: readonly Attempt[], nowMs: number): void {
     const known = this.#imageOf(attempt);
     known.bestTailMs = Math.min(known.bestTailMs, attempt.figure);
-    const best = known.bestTailMs * BEST_TAIL_FACTOR;
+    const best = known.bestTailMs;
     const observed = 1 - best / attempt.figure;
     const isSaturated = observed > SATURATED;
     known.regression.add(
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -24,9 +24,13 @@
 const PRESSED_RATIO = 1;
 /** Measured tail over its target below which a filler may go on. */
 const RELEASE_RATIO = 0.6;
+/** Serving tasks that a filler may push over when it goes on. */
+const RELEASE_HARM = 0.15;
 /** Room below its limit that relief is to leave a serving task. */
 const SPARE_ROOM = 0.05;
 
+/** All fillers yield to a task that misses its target for this long, in ms. */
+const PATIENCE_MS = 1200;
 /** A measured tail shows relief after this time, in ms. */
 const SETTLE_MS = 700;
 
@@ -48,7 +52,12 @@
     const ratio = attempt.figure / attempt.task.stepRun.step.targetMs;
     worst = Math.max(worst, ratio);
     if (ratio < PRESSED_RATIO) continue;
-    for (const filler of chooseYielding(model, attempt, fillers)) {
+    const overMs = nowMs - (attempt.overSinceMs ?? nowMs);
+    const yielding =
+      overMs > PATIENCE_MS
+        ? fillers.filter(({ pacePercent }) => pacePercent > 0)
+        : chooseYielding(model, attempt, fillers);
+    for (const filler of yielding) {
       const relief = canMove(filler) ? Relief.Move : Relief.Pause;
       orders.set(filler, { filler, relief, ratio });
     }
@@ -57,7 +66,7 @@
   if (worst > RELEASE_RATIO) return [...orders.values()];
   for (const filler of fillers) {
     if (filler.pacePercent === 100) continue;
-    if (model.roomFor(filler.task.stepRun.step, worker) < 0) continue;
+    if (model.harmOf(filler.task.stepRun.step, worker) > RELEASE_HARM) continue;
     orders.set(filler, { filler, relief: Relief.Release, ratio: worst });
     // One at a time: the next report shows what it did.
     break;
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -1,3 +1,4 @@
+import { harmLimitOf } from "./harm_limit";
 import { dueMsOf } from "./job";
 import type { JobBoard } from "./job_board";
 import { compareRanks, type JobRank, rankJob } from "./job_order";
@@ -11,7 +12,7 @@
   type StepRun,
   type Task,
 } from "./task";
-import { isFit, scoreFit } from "./worker_fit";
+import { type FitContext, isFit, scoreFit } from "./worker_fit";
 import type { WorkerRecord } from "./worker_record";
 
 /** What a round of planning is given. */
@@ -83,7 +84,7 @@
   }
   for (const task of waiting) {
     if (plan.starts.length >= options.limit) return;
-    const worker = chooseWorker(stepRun, plan.workers, options.model);
+    const worker = chooseWorker(stepRun, plan.workers, options);
     // Its tasks are alike: where one does not fit, none does.
     if (worker === undefined) return;
     const run = task.lastRun + 1;
@@ -103,7 +104,7 @@
   const checkpoint = open.find((task) => task.checkpoint !== "")?.checkpoint;
   const planned: Attempt[] = [];
   for (const task of open) {
-    const worker = chooseWorker(stepRun, workers, options.model);
+    const worker = chooseWorker(stepRun, workers, options);
     if (worker === undefined) {
       for (const attempt of planned) {
         board.onRefused(attempt, Number.NEGATIVE_INFINITY);
@@ -119,13 +120,17 @@
 function chooseWorker(
   stepRun: StepRun,
   workers: readonly WorkerRecord[],
-  model: PressureModel,
+  { model, wallMs }: PlanOptions,
 ): WorkerRecord | undefined {
-  const context = { siblingRack: findSiblingRack(stepRun), model };
+  const context: FitContext = {
+    siblingRack: findSiblingRack(stepRun),
+    model,
+    harmLimit: harmLimitOf(stepRun, wallMs),
+  };
   let best: WorkerRecord | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   for (const worker of workers) {
-    if (!isFit(stepRun, worker, model)) continue;
+    if (!isFit(stepRun, worker, context)) continue;
     const score = scoreFit(stepRun, worker, context);
     if (score <= bestScore) continue;
     best = worker;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -27,6 +27,8 @@
   pacePercent: number;
   /** Tail latency in ms, or processor use, as last reported. */
   figure: number;
+  /** Monotonic ms since which its tail is over the target; undefined: it is not. */
+  overSinceMs: number | undefined;
   /** Progress or share of full speed, as last reported. */
   percent: number;
   /** Reports in a row that did not list it. */
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -7,10 +7,8 @@
 const DATA_RACK_SCORE = 4;
 /** Worth of standing in the rack of the step's other tasks, in scores. */
 const SIBLING_RACK_SCORE = 4;
-/** Worth of room that a filler leaves the serving tasks beside it. */
-const ROOM_SCORE = 2;
-/** Room below which a filler is not put beside a serving task. */
-const LEAST_ROOM = 0.05;
+/** Cost of a serving task that a filler pushes over its target. */
+const HARM_SCORE = 10;
 /** Worth of standing beside serving tasks of the same image only. */
 const SAME_IMAGE_SCORE = 1;
 /** Cost of pressure that a serving task would meet. */
@@ -18,11 +16,20 @@
 /** Cost of each task of the same lasting step on the worker. */
 const SAME_STEP_SCORE = 0.25;
 
+/** What a choice of worker depends on besides step and worker. */
+export interface FitContext {
+  /** Rack of the step's other tasks; empty when it does not matter. */
+  readonly siblingRack: string;
+  readonly model: PressureModel;
+  /** Serving tasks that a filler may push over their targets. */
+  readonly harmLimit: number;
+}
+
 /** Whether a task of the step fits on the worker now. */
 export function isFit(
   stepRun: StepRun,
   worker: WorkerRecord,
-  model: PressureModel,
+  { model, harmLimit }: FitContext,
 ): boolean {
   const { step } = stepRun;
   const { capacity, labels } = worker.info;
@@ -41,14 +48,7 @@
   ) {
     return false;
   }
-  return !step.isFiller || model.roomFor(step, worker) >= LEAST_ROOM;
-}
-
-/** What a score depends on besides step and worker. */
-export interface FitContext {
-  /** Rack of the step's other tasks; empty when it does not matter. */
-  readonly siblingRack: string;
-  readonly model: PressureModel;
+  return !step.isFiller || model.harmOf(step, worker) <= harmLimit;
 }
 
 /** How well a task of the step would stand on the worker; higher is better. */
@@ -60,12 +60,16 @@
   const { step } = stepRun;
   const { capacity, rack } = worker.info;
   const cpuMilli = Math.max(1, capacity.cpuMilli);
-  let score = (worker.leftoverMilli - step.resources.cpuMilli) / cpuMilli;
+  let score =
+    step.targetMs > 0
+      ? // Full workers leave others to what fills.
+        worker.cpuMilli / cpuMilli
+      : (worker.leftoverMilli - step.resources.cpuMilli) / cpuMilli;
   if (step.dataRack !== "" && step.dataRack === rack) score += DATA_RACK_SCORE;
   if (step.isColocated && siblingRack !== "" && siblingRack === rack) {
     score += SIBLING_RACK_SCORE;
   }
-  if (step.isFiller) score += model.roomFor(step, worker) * ROOM_SCORE;
+  if (step.isFiller) score -= model.harmOf(step, worker) * HARM_SCORE;
   if (step.targetMs > 0) score += scoreServing(step, worker, model);
   if (step.isLongRunning) {
     score -= countOnWorker(stepRun, worker) * SAME_STEP_SCORE;
