fix(jobs): ends of jobs that are not known yet are kept; jobs are spread over partitions

Second cause: in a slow store the one partition turned the leader's commits away (429). Change: jobs are read first; ends of unknown jobs wait for their job and are not acknowledged before; job rows stand in partitions of their own, so that submissions do not hold up progress.

--- a/packages/desk/src/job_desk.ts
+++ b/packages/desk/src/job_desk.ts
@@ -2,12 +2,16 @@
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import type { Table } from "@laburnumtrack/core/table";
 import type { Job } from "@laburnumtrack/jobs/job";
-import { jobKey, readState, stateKey } from "@laburnumtrack/jobs/job_rows";
 import {
-  isFinal,
-  JobPhase,
-  type JobState,
-} from "@laburnumtrack/jobs/job_state";
+  closedRow,
+  type JobRow,
+  jobKey,
+  openRow,
+  readJobRow,
+  readState,
+  stateKey,
+} from "@laburnumtrack/jobs/job_rows";
+import { JobPhase, type JobState } from "@laburnumtrack/jobs/job_state";
 import { Err, Ok, type Result } from "ts-results";
 
 /** How a desk is set up. */
@@ -48,27 +52,15 @@
     job: Job,
     deadlineMs: number,
   ): Promise<Result<Submission, Fault>> {
-    const state: JobState = {
-      phase: JobPhase.Queued,
-      queue: job.queue,
-      sinceMs: job.submittedMs,
-      steps: [],
-    };
     const transaction = {
-      checks: [
-        { key: jobKey(job.id), revision: 0 },
-        { key: stateKey(job.id), revision: 0 },
-      ],
-      writes: [
-        { key: jobKey(job.id), value: JSON.stringify(job) },
-        { key: stateKey(job.id), value: JSON.stringify(state) },
-      ],
+      checks: [{ key: jobKey(job.id), revision: 0 }],
+      writes: [{ key: jobKey(job.id), value: openRow(job) }],
     };
     let isUncertain = false;
     const outcome = await this.#retry(deadlineMs, async () => {
       const done = await this.#options.table.commit(transaction);
       if (done.ok) return Ok(Submission.Stored);
-      // The rows are there: of an earlier try, or of an earlier request.
+      // The row is there: of an earlier try, or of an earlier request.
       if (done.val.code === FaultCode.Conflict) return Ok(Submission.Known);
       if (done.val.code === FaultCode.OutcomeUnknown) isUncertain = true;
       return done;
@@ -82,40 +74,50 @@
     id: string,
     deadlineMs: number,
   ): Promise<Result<JobPhase, Fault>> {
-    const state = await this.#retry(deadlineMs, () => this.#readState(id));
-    return state.map(({ state: { phase } }) => phase);
+    return await this.#retry(deadlineMs, async () => {
+      const state = await this.#readState(id);
+      if (state.err || state.val !== undefined) {
+        return state.map((found) => found?.phase ?? JobPhase.Queued);
+      }
+      const row = await this.#readRow(id);
+      return row.map(({ value: { isCancelled } }) =>
+        isCancelled ? JobPhase.Cancelled : JobPhase.Queued,
+      );
+    });
   }
 
   /** Cancels a job; `NotFound` when there is none. */
   async cancel(id: string, deadlineMs: number): Promise<Result<void, Fault>> {
     return await this.#retry(deadlineMs, async () => {
-      const found = await this.#readState(id);
-      if (found.err) return found;
-      const { state, revision } = found.val;
-      if (isFinal(state.phase)) return Ok(undefined);
-      const sinceMs = this.#options.clock.wallMs();
-      const next = { ...state, phase: JobPhase.Cancelled, sinceMs, steps: [] };
+      const row = await this.#readRow(id);
+      if (row.err) return row;
+      const { value, revision } = row.val;
+      if (value.job === undefined) return Ok(undefined);
+      const key = jobKey(id);
       const done = await this.#options.table.commit({
-        checks: [{ key: stateKey(id), revision }],
-        writes: [
-          { key: stateKey(id), value: JSON.stringify(next) },
-          { key: jobKey(id), value: null },
-        ],
+        checks: [{ key, revision }],
+        writes: [{ key, value: closedRow({ isCancelled: true }) }],
       });
       return done.ok ? Ok(undefined) : done;
     });
   }
 
-  async #readState(
-    id: string,
-  ): Promise<Result<{ state: JobState; revision: number }, Fault>> {
+  async #readState(id: string): Promise<Result<JobState | undefined, Fault>> {
     const read = await this.#options.table.get([stateKey(id)]);
     if (read.err) return read;
     const [row] = read.val;
+    return row === undefined ? Ok(undefined) : readState(row);
+  }
+
+  async #readRow(
+    id: string,
+  ): Promise<Result<{ value: JobRow; revision: number }, Fault>> {
+    const read = await this.#options.table.get([jobKey(id)]);
+    if (read.err) return read;
+    const [row] = read.val;
     if (row === undefined) return Err(new Fault(FaultCode.NotFound, id));
-    const state = readState(row);
-    if (state.err) return state;
-    return Ok({ state: state.val, revision: row.revision });
+    const { revision } = row;
+    return readJobRow(row).map((value) => ({ value, revision }));
   }
 
   /** Tries until an outcome is certain or time is up. */
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -142,15 +142,16 @@
       if (worker.bornMs !== 0) this.onLost(worker);
       worker.bornMs = report.bornMs;
     }
-    worker.hasReported = true;
+    worker.hasReported ||= !report.hasMore;
+    const isComplete = times.nowMs >= this.#options.completeMs;
+    this.#adoptOrphans(worker, { ...times, isComplete });
     worker.reportMs = times.sentMs;
     for (const ended of report.ended) {
       if (ended.number <= worker.lastEnd) continue;
-      const isKnown = this.jobs.has(ended.task.jobId);
-      // The worker has to report it again, once its job is known.
-      if (!isKnown && times.nowMs < this.#options.completeMs) break;
       worker.lastEnd = ended.number;
-      this.#onEnded(worker, ended, times);
+      const isKnown = this.jobs.has(ended.task.jobId);
+      if (isKnown) this.#onEnded(worker, ended, times);
+      else if (!isComplete) worker.orphans.push(ended);
     }
     const listed = new Set<Attempt>();
     for (const running of report.running) {
@@ -167,9 +168,25 @@
     for (const attempt of [...worker.attempts]) this.#detach(attempt);
     worker.lastEnd = 0;
     worker.storedEnd = 0;
+    worker.orphans = [];
     worker.bornMs = 0;
   }
 
+  /** Takes in ends of jobs that were not known when they were reported. */
+  #adoptOrphans(
+    worker: WorkerRecord,
+    times: { nowMs: number; wallMs: number; isComplete: boolean },
+  ): void {
+    if (worker.orphans.length === 0) return;
+    const { orphans } = worker;
+    worker.orphans = [];
+    for (const ended of orphans) {
+      const isKnown = this.jobs.has(ended.task.jobId);
+      if (isKnown) this.#onEnded(worker, ended, times);
+      else if (!times.isComplete) worker.orphans.push(ended);
+    }
+  }
+
   #onRunning(
     worker: WorkerRecord,
     running: RunningRun,
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -7,9 +7,12 @@
 
 /** Prefixes of the rows that the system keeps. */
 export enum RowPrefix {
-  /** Jobs that are not over, whole. */
+  /**
+   * Jobs as they were handed in. They may be spread over partitions: no
+   * transaction writes two of them, or one of them and another row.
+   */
   Jobs = "jobs/",
-  /** State of each job, small; kept for some time after the job is over. */
+  /** Progress of jobs, written by leaders only. */
   States = "states/",
   /** The leading scheduler: a single row. */
   Leader = "leader/",
@@ -33,9 +36,31 @@
   return key.slice(key.indexOf("/") + 1);
 }
 
+/** What the row of a job holds. */
+export interface JobRow {
+  /** The job; undefined once nothing of it will be started. */
+  readonly job: Job | undefined;
+  /** A caller cancelled it. */
+  readonly isCancelled: boolean;
+}
+
+/** Row of a job that is handed in. */
+export function openRow(job: Job): string {
+  return encode({ job, isCancelled: false });
+}
+
+/** What is left of a job's row: its id stays taken. */
+export function closedRow({ isCancelled }: { isCancelled: boolean }): string {
+  return encode({ job: undefined, isCancelled });
+}
+
+function encode(row: JobRow): string {
+  return JSON.stringify(row);
+}
+
 /** Reads a job's row; `Malformed` when it is none. */
-export function readJob(row: Pick<Row, "value">): Result<Job, Fault> {
-  return parse<Job>(row.value, "steps");
+export function readJobRow(row: Pick<Row, "value">): Result<JobRow, Fault> {
+  return parse<JobRow>(row.value, "isCancelled");
 }
 
 /** Reads a state's row; `Malformed` when it is none. */
--- a/packages/jobs/src/task_worker.ts
+++ b/packages/jobs/src/task_worker.ts
@@ -121,6 +121,8 @@
   readonly bornMs: number;
   readonly running: readonly RunningRun[];
   readonly ended: readonly EndedRun[];
+  /** More ends follow once these are acknowledged. */
+  readonly hasMore: boolean;
 }
 
 /** An order about a run that was started. */
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -1,5 +1,5 @@
 import type { Attempt } from "./task";
-import type { RegisteredWorker } from "./task_worker";
+import type { EndedRun, RegisteredWorker } from "./task_worker";
 
 /** A worker in the leading scheduler's memory. */
 export class WorkerRecord {
@@ -19,6 +19,8 @@
   lastEnd = 0;
   /** Highest end whose effect is stored. */
   storedEnd = 0;
+  /** Ends of runs whose jobs are not known yet. */
+  orphans: EndedRun[] = [];
   readonly attempts = new Set<Attempt>();
   /** Processor time reserved, in thousandths of a core. */
   cpuMilli = 0;
@@ -51,6 +53,12 @@
     if (this.attempts.delete(attempt)) this.#count(attempt, -1);
   }
 
+  /** Highest end up to which all are of known jobs. */
+  get knownEnd(): number {
+    const numbers = this.orphans.map(({ number }) => number - 1);
+    return Math.min(this.lastEnd, ...numbers);
+  }
+
   /** Processor time that nothing is meant to use, in thousandths of a core. */
   get leftoverMilli(): number {
     return this.info.capacity.cpuMilli - this.cpuMilli - this.fillerMilli;
--- a/packages/leader/src/progress_log.ts
+++ b/packages/leader/src/progress_log.ts
@@ -4,7 +4,6 @@
 import type { Table, Write } from "@laburnumtrack/core/table";
 import { stateOf } from "@laburnumtrack/jobs/job_record";
 import {
-  jobKey,
   LEADER_KEY,
   readLeadership,
   stateKey,
@@ -43,8 +42,8 @@
 const RENEW_MS = 400;
 /** Pause after a commit that the table turned away, in ms. */
 const RETRY_MS = 100;
-/** Jobs in one commit; the platform takes at most 100 entries, two a job. */
-const JOBS_PER_COMMIT = 45;
+/** Jobs in one commit; the platform takes at most 100 entries. */
+const JOBS_PER_COMMIT = 90;
 
 /**
  * Stores the progress of jobs. Each commit also writes the leader's row and
@@ -128,7 +127,7 @@
     const sentMs = clock.nowMs();
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
-      writes: [toWrite(row), ...batch.flatMap(writesOf)],
+      writes: [toWrite(row), ...batch.map(toStateWrite)],
     });
     metrics.recordMs("progress_commit", clock.nowMs() - sentMs);
     const revision = done.ok
@@ -185,7 +184,7 @@
   #readEnds() {
     return [...this.#options.workers()].map((worker) => ({
       worker,
-      end: worker.lastEnd,
+      end: worker.knownEnd,
       bornMs: worker.bornMs,
     }));
   }
@@ -204,10 +203,7 @@
   return { key: LEADER_KEY, value: JSON.stringify(row) };
 }
 
-function writesOf(record: JobRecord): Write[] {
-  const { id } = record.job;
+function toStateWrite(record: JobRecord): Write {
   const value = JSON.stringify(stateOf(record));
-  const state: Write = { key: stateKey(id), value };
-  if (!isFinal(record.phase)) return [state];
-  return [state, { key: jobKey(id), value: null }];
+  return { key: stateKey(record.job.id), value };
 }
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -10,7 +10,7 @@
 import {
   idOfKey,
   RowPrefix,
-  readJob,
+  readJobRow,
   readState,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, type JobState } from "@laburnumtrack/jobs/job_state";
@@ -28,6 +28,7 @@
 import { RowFollower } from "@laburnumtrack/process/row_follower";
 import { OrderRight } from "./order_right";
 import { type HeldLeadership, ProgressLog } from "./progress_log";
+import { RowCloser } from "./row_closer";
 import { WorkerLink } from "./worker_link";
 
 /** What a term of leadership is given. */
@@ -79,6 +80,8 @@
 const RUNS_PER_EPOCH = 256;
 /** Time between two lines on what is held, in ms. */
 const REPORT_MS = 10_000;
+/** Tries to hand leadership back; without it the next leader waits longer. */
+const RELEASE_TRIES = 8;
 /** Pause after a fault of this program in a worker's link, in ms. */
 const LINK_RESTART_MS = 100;
 /** Pause after a table that did not answer at the start of a term, in ms. */
@@ -91,6 +94,7 @@
   readonly #start: TermStart;
   readonly #log: ProgressLog;
   readonly #right: OrderRight;
+  readonly #closer: RowCloser;
   readonly #plan: Signal;
   readonly #model = new PressureModel();
   readonly #links = new Map<string, OpenLink>();
@@ -129,8 +133,12 @@
       heldMs: start.heldMs,
       workers: () => this.board.workers.values(),
       pending: () => countPending(this.board),
-      onFinalStored: (record) => this.#stored.add(record.job.id),
+      onFinalStored: (record) => {
+        this.#stored.add(record.job.id);
+        this.#closer.add(record.job.id, record.revision);
+      },
     });
+    this.#closer = new RowCloser({ clock, table });
     this.#right = new OrderRight({
       clock,
       rightMs: options.rightMs,
@@ -162,6 +170,7 @@
     this.#spawn(this.#log.run(over));
     this.#spawn(this.#right.run(over));
     this.#spawn(this.#report(over));
+    this.#spawn(this.#closer.run(over));
     // Jobs come first: reports are about jobs that must be known.
     const isLoaded = await this.#load([jobs, workers]);
     if (isLoaded) {
@@ -232,7 +241,12 @@
   }
 
   async #release(): Promise<void> {
-    const isReleased = await this.#log.commit({ isReleased: true });
+    const { clock } = this.#options;
+    let isReleased = false;
+    for (let tries = 0; tries < RELEASE_TRIES && !isReleased; tries += 1) {
+      if (tries > 0) await clock.sleep(LOAD_RETRY_MS);
+      isReleased = await this.#log.commit({ isReleased: true });
+    }
     this.#options.journal.info("Leadership handed back.", { isReleased });
   }
 
@@ -343,8 +357,10 @@
       journal,
       prefix: RowPrefix.Jobs,
       listener: {
-        onSnapshot: (snapshot) => this.#onJobs(snapshot),
-        onChange: (row) => this.#onJobChange(row),
+        onSnapshot: ({ rows }) => {
+          for (const row of rows) this.#onJobRow(row);
+        },
+        onChange: (row) => this.#onJobRow(row),
       },
     });
   }
@@ -370,44 +386,33 @@
     for (const row of rows) {
       const state = readState(row);
       if (state.ok) {
-        if (!isFinal(state.val.phase)) {
-          this.#states.set(idOfKey(row.key), state.val);
-        }
+        this.#states.set(idOfKey(row.key), state.val);
       } else this.#onMalformed(row.key, state.val.message);
     }
   }
 
-  #onJobs({ rows, revision }: Snapshot): void {
-    const listed = new Set<string>();
-    for (const row of rows) {
-      listed.add(idOfKey(row.key));
-      this.#onJobChange(row);
-    }
-    for (const record of this.board.jobs.values()) {
-      const isGone = !listed.has(record.job.id) && record.revision <= revision;
-      if (isGone) this.#onCancelled(record.job.id);
-    }
-  }
-
-  #onJobChange(row: ChangedRow): void {
+  #onJobRow(row: ChangedRow): void {
     const id = idOfKey(row.key);
-    if (row.value === undefined) {
-      this.#onCancelled(id);
+    if (row.value === undefined) return;
+    const read = readJobRow({ value: row.value });
+    if (read.err) {
+      this.#onMalformed(row.key, read.val.message);
       return;
     }
-    if (this.board.jobs.has(id)) return;
-    const job = readJob({ value: row.value });
-    if (job.err) {
-      this.#onMalformed(row.key, job.val.message);
-      return;
-    }
-    this.#addJob(job.val, row.revision);
+    const { job, isCancelled } = read.val;
+    if (isCancelled) this.#onCancelled(id);
+    if (job === undefined || this.board.jobs.has(id)) return;
+    this.#addJob(job, row.revision);
   }
 
   #addJob(job: Job, revision: number): void {
     const { config, journal } = this.#options;
     const state = this.#states.get(job.id);
     this.#states.delete(job.id);
+    if (state !== undefined && isFinal(state.phase)) {
+      this.#closer.add(job.id, revision);
+      return;
+    }
     const queue = config().queues.find(({ name }) => name === job.queue);
     const record = this.board.addJob(job, revision, { queue, state });
     journal.info("A job is taken in.", {
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -308,7 +308,7 @@
     const { clock } = this.#options;
     const untilMs = clock.nowMs() + UNSTORED_LIMIT_MS;
     const { worker } = this;
-    while (worker.lastEnd > worker.storedEnd && clock.nowMs() < untilMs) {
+    while (worker.knownEnd > worker.storedEnd && clock.nowMs() < untilMs) {
       await clock.sleep(UNSTORED_PAUSE_MS, signal);
       if (signal.aborted) return;
     }
