fix(jobs): a failure is counted once; old reads are refused; no job stands idle for long

Cause: LOST 'shown as failed': a failure that was stored but not yet acknowledged was counted again by the next leader. TWICE on a dropped history: rows read again from an old moment made finished jobs new.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -289,7 +289,7 @@
         this.#onDone(task, wallMs);
         break;
       case RunEnd.Failed:
-        this.#onFailed(task, { nowMs, wallMs });
+        this.#onFailed(task, ended.run, { nowMs, wallMs });
         break;
       default:
         task.notBeforeMs = Math.max(task.notBeforeMs, nowMs);
@@ -320,15 +320,16 @@
 
   #onFailed(
     task: Task,
+    run: number,
     { nowMs, wallMs }: { nowMs: number; wallMs: number },
   ): void {
     const { record, step } = task.stepRun;
     task.notBeforeMs = Math.max(task.notBeforeMs, nowMs + RETRY_PAUSE_MS);
     if (step.isLongRunning) return;
-    task.failures += 1;
+    task.failedRuns.add(run);
     const limit = record.queue?.attemptLimit ?? Number.POSITIVE_INFINITY;
     // A copy that is still at work may yet be done.
-    if (task.failures >= limit && task.attempts.length === 0) {
+    if (task.failedRuns.size >= limit && task.attempts.length === 0) {
       this.#finish(record, JobPhase.Failed, wallMs);
     } else {
       this.#listener.onChanged(record);
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -42,6 +42,7 @@
         step,
         tasks: [],
         doneCount: 0,
+        idleSinceMs: undefined,
       };
       for (let index = 0; index < step.count; index += 1) {
         stepRun.tasks.push(createTask(stepRun, index, runFloor));
@@ -65,10 +66,12 @@
   const stepRuns = isFinal(record.phase) ? [] : record.occurrences.flat();
   for (const stepRun of stepRuns) {
     const done: number[] = [];
-    const failures: [number, number][] = [];
+    const failures: [number, number[]][] = [];
     for (const task of stepRun.tasks) {
       if (task.isDone) done.push(task.index);
-      else if (task.failures > 0) failures.push([task.index, task.failures]);
+      else if (task.failedRuns.size > 0) {
+        failures.push([task.index, [...task.failedRuns]]);
+      }
     }
     if (done.length === 0 && failures.length === 0) continue;
     const { occurrence, number: step } = stepRun;
@@ -92,7 +95,7 @@
     stepRun,
     index,
     isDone: false,
-    failures: 0,
+    failedRuns: new Set(),
     lastRun: runFloor,
     checkpoint: "",
     attempts: [],
@@ -109,8 +112,16 @@
     task.isDone = true;
     stepRun.doneCount += 1;
   }
-  for (const [index, count] of progress.failures) {
-    const task = stepRun.tasks[index];
-    if (task !== undefined) task.failures = count;
+  for (const [index, runs] of progress.failures) {
+    for (const run of runs) stepRun.tasks[index]?.failedRuns.add(run);
   }
 }
+
+/** Whether anything of the job may be at work. */
+export function hasAttempts(record: JobRecord): boolean {
+  return record.occurrences.some((steps) =>
+    steps.some(({ tasks }) =>
+      tasks.some(({ attempts }) => attempts.length > 0),
+    ),
+  );
+}
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -13,8 +13,11 @@
   readonly step: number;
   /** Indices of tasks that are done. */
   readonly done: readonly number[];
-  /** Failed runs by task index, as pairs. */
-  readonly failures: readonly (readonly [index: number, count: number])[];
+  /** Numbers of failed runs, by task index: an end may be reported again. */
+  readonly failures: readonly (readonly [
+    index: number,
+    runs: readonly number[],
+  ])[];
 }
 
 /** What the table holds of a job's progress. */
--- a/packages/jobs/src/pressure_model.ts
+++ b/packages/jobs/src/pressure_model.ts
@@ -23,6 +23,11 @@
 /** Time between two solutions of a model, in ms. */
 const SOLVE_MS = 500;
 
+/** A worker gets no filler while a tail is over its target for this long. */
+const BARRED_MS = 1000;
+/** Harm that stands for more than any limit but the last resort. */
+const BARRED_HARM = 1000;
+
 interface ServingImage {
   /** Utilization by fillers' images. */
   readonly regression: RidgeRegression;
@@ -86,10 +91,12 @@
   }
 
   /** Serving tasks of a worker that a filler of the step would push over. */
-  harmOf(step: Step, worker: WorkerRecord): number {
+  harmOf(step: Step, worker: WorkerRecord, nowMs: number): number {
     const share = step.resources.cpuMilli / worker.info.capacity.cpuMilli;
     let harm = 0;
     for (const attempt of listServing(worker)) {
+      const overMs = nowMs - (attempt.overSinceMs ?? nowMs);
+      if (overMs > BARRED_MS) return BARRED_HARM;
       const { image } = attempt.task.stepRun.step;
       const before = this.utilizationOf(attempt);
       const after = before + this.pressureOf(step.image, image) * share;
@@ -144,7 +151,10 @@
       known.regression.solve();
     }
     // While its queue drains, the tail says nothing of the load.
-    if (isSaturated) return;
+    if (isSaturated) {
+      if (fillers.length === 0) this.#loads.set(attempt, MOST_LOAD);
+      return;
+    }
     const own = observed - this.#sum(attempt, fillers);
     const former = this.#loads.get(attempt) ?? known.regression.base;
     const next = former + (own - former) * LOAD_SHARE;
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -66,7 +66,8 @@
   if (worst > RELEASE_RATIO) return [...orders.values()];
   for (const filler of fillers) {
     if (filler.pacePercent === 100) continue;
-    if (model.harmOf(filler.task.stepRun.step, worker) > RELEASE_HARM) continue;
+    const { step } = filler.task.stepRun;
+    if (model.harmOf(step, worker, nowMs) > RELEASE_HARM) continue;
     orders.set(filler, { filler, relief: Relief.Release, ratio: worst });
     // One at a time: the next report shows what it did.
     break;
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -2,6 +2,7 @@
 import { dueMsOf } from "./job";
 import type { JobBoard } from "./job_board";
 import { compareRanks, type JobRank, rankJob } from "./job_order";
+import { hasAttempts } from "./job_record";
 import { isFinal } from "./job_state";
 import type { PressureModel } from "./pressure_model";
 import {
@@ -78,6 +79,8 @@
     isWaiting(task, options.nowMs),
   );
   if (waiting.length === 0) return;
+  if (hasAttempts(stepRun.record)) stepRun.idleSinceMs = undefined;
+  else stepRun.idleSinceMs ??= options.nowMs;
   if (stepRun.step.isGang) {
     planGang(board, plan, waiting);
     return;
@@ -89,6 +92,7 @@
     if (worker === undefined) return;
     const run = task.lastRun + 1;
     plan.starts.push(board.onSent(task, run, worker, options.nowMs));
+    stepRun.idleSinceMs = undefined;
   }
 }
 
@@ -120,12 +124,13 @@
 function chooseWorker(
   stepRun: StepRun,
   workers: readonly WorkerRecord[],
-  { model, wallMs }: PlanOptions,
+  { model, wallMs, nowMs }: PlanOptions,
 ): WorkerRecord | undefined {
   const context: FitContext = {
     siblingRack: findSiblingRack(stepRun),
     model,
-    harmLimit: harmLimitOf(stepRun, wallMs),
+    nowMs,
+    harmLimit: harmLimitOf(stepRun, { wallMs, nowMs }),
   };
   let best: WorkerRecord | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -42,8 +42,8 @@
   readonly stepRun: StepRun;
   readonly index: number;
   isDone: boolean;
-  /** Runs that failed. */
-  failures: number;
+  /** Numbers of the runs that failed. */
+  readonly failedRuns: Set<number>;
   /** Highest number of a run. */
   lastRun: number;
   checkpoint: string;
@@ -61,6 +61,8 @@
   readonly step: Step;
   readonly tasks: Task[];
   doneCount: number;
+  /** Monotonic ms since which nothing of its job runs though it could. */
+  idleSinceMs: number | undefined;
 }
 
 /** A job in the leading scheduler's memory. */
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -21,6 +21,7 @@
   /** Rack of the step's other tasks; empty when it does not matter. */
   readonly siblingRack: string;
   readonly model: PressureModel;
+  readonly nowMs: number;
   /** Serving tasks that a filler may push over their targets. */
   readonly harmLimit: number;
 }
@@ -29,7 +30,7 @@
 export function isFit(
   stepRun: StepRun,
   worker: WorkerRecord,
-  { model, harmLimit }: FitContext,
+  { model, harmLimit, nowMs }: FitContext,
 ): boolean {
   const { step } = stepRun;
   const { capacity, labels } = worker.info;
@@ -48,14 +49,14 @@
   ) {
     return false;
   }
-  return !step.isFiller || model.harmOf(step, worker) <= harmLimit;
+  return !step.isFiller || model.harmOf(step, worker, nowMs) <= harmLimit;
 }
 
 /** How well a task of the step would stand on the worker; higher is better. */
 export function scoreFit(
   stepRun: StepRun,
   worker: WorkerRecord,
-  { siblingRack, model }: FitContext,
+  { siblingRack, model, nowMs }: FitContext,
 ): number {
   const { step } = stepRun;
   const { capacity, rack } = worker.info;
@@ -69,7 +70,7 @@
   if (step.isColocated && siblingRack !== "" && siblingRack === rack) {
     score += SIBLING_RACK_SCORE;
   }
-  if (step.isFiller) score -= model.harmOf(step, worker) * HARM_SCORE;
+  if (step.isFiller) score -= model.harmOf(step, worker, nowMs) * HARM_SCORE;
   if (step.targetMs > 0) score += scoreServing(step, worker, model);
   if (step.isLongRunning) {
     score -= countOnWorker(stepRun, worker) * SAME_STEP_SCORE;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { Clock } from "@laburnumtrack/core/clock";
 import type {
   ChangedRow,
@@ -7,6 +8,7 @@
 import { Signal } from "@laburnumtrack/core/signal";
 import type { Job } from "@laburnumtrack/jobs/job";
 import { JobBoard, type StopRequest } from "@laburnumtrack/jobs/job_board";
+import { hasAttempts } from "@laburnumtrack/jobs/job_record";
 import {
   idOfKey,
   RowPrefix,
@@ -19,7 +21,7 @@
 import { planRelief, Relief } from "@laburnumtrack/jobs/pressure_relief";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
-import type { Attempt, JobRecord, Task } from "@laburnumtrack/jobs/task";
+import type { Attempt, Task } from "@laburnumtrack/jobs/task";
 import type { EndedRun, TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
@@ -101,7 +103,10 @@
   readonly #states = new Map<string, JobState>();
   readonly #over = new AbortController();
   readonly #tasks = new Set<Promise<void>>();
+  /** Jobs whose end is stored and that still have attempts. */
   readonly #stored = new Set<string>();
+  /** Jobs that ended in this term. */
+  readonly #finished = new Set<string>();
   readonly #settledMs: number;
   #isSettled = false;
   #configVersion = 0;
@@ -111,6 +116,8 @@
     this.#options = options;
     this.#start = start;
     const { clock, journal, metrics, table } = options;
+    // One listener for each worker's link.
+    setMaxListeners(0, this.#over.signal);
     const { epoch } = start.held.row;
     this.#plan = new Signal(clock);
     this.board = new JobBoard(
@@ -135,6 +142,7 @@
       pending: () => countPending(this.board),
       onFinalStored: (record) => {
         this.#stored.add(record.job.id);
+        this.#finished.add(record.job.id);
         this.#closer.add(record.job.id, record.revision);
       },
     });
@@ -227,7 +235,8 @@
     const { table, clock } = this.#options;
     while (!this.#over.signal.aborted && !this.#isLost) {
       const states = await table.snapshot(RowPrefix.States);
-      if (states.ok) {
+      // An older read may lack what the former leader stored last.
+      if (states.ok && states.val.revision >= this.#start.held.revision) {
         this.#onStates(states.val);
         let isLoaded = true;
         for (const follower of followers) {
@@ -355,6 +364,7 @@
       clock,
       table,
       journal,
+      floor: this.#start.held.revision,
       prefix: RowPrefix.Jobs,
       listener: {
         onSnapshot: ({ rows }) => {
@@ -371,6 +381,7 @@
       clock,
       table,
       journal,
+      floor: this.#start.held.revision,
       prefix: registry.prefix,
       listener: {
         onSnapshot: (snapshot) => this.#onWorkers(snapshot),
@@ -402,6 +413,8 @@
     const { job, isCancelled } = read.val;
     if (isCancelled) this.#onCancelled(id);
     if (job === undefined || this.board.jobs.has(id)) return;
+    // Rows may be read again after their job is over.
+    if (this.#finished.has(id)) return;
     this.#addJob(job, row.revision);
   }
 
@@ -563,7 +576,7 @@
       run,
       end,
       worker: worker.id,
-      failures: task.failures,
+      failures: task.failedRuns.size,
     });
   }
 
@@ -628,14 +641,6 @@
   }
 }
 
-function hasAttempts(record: JobRecord): boolean {
-  return record.occurrences.some((steps) =>
-    steps.some(({ tasks }) =>
-      tasks.some(({ attempts }) => attempts.length > 0),
-    ),
-  );
-}
-
 function idIn(prefix: string, key: string): string {
   return key.slice(prefix.length);
 }
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -21,6 +21,8 @@
   readonly journal: Journal;
   readonly prefix: string;
   readonly listener: RowListener;
+  /** A snapshot below this revision is too old to be used; 0: none is. */
+  readonly floor?: number;
 }
 
 /** Longest wait of a call for changes: bounds how long a dead channel hides. */
@@ -32,11 +34,14 @@
 export class RowFollower {
   readonly #options: RowFollowerOptions;
   #revision: number | undefined;
+  /** Highest revision that was seen. */
+  #floor: number;
   #contactMs = Number.NEGATIVE_INFINITY;
   #isLost = false;
 
   constructor(options: RowFollowerOptions) {
     this.#options = options;
+    this.#floor = options.floor ?? 0;
   }
 
   /** Monotonic ms at which the last answered call was sent. */
@@ -60,8 +65,9 @@
     }
     this.#onContact(sentMs);
     // An old read must not take the follower back.
-    if (read.val.revision < (this.#revision ?? 0)) return false;
+    if (read.val.revision < this.#floor) return false;
     this.#revision = read.val.revision;
+    this.#floor = read.val.revision;
     listener.onSnapshot(read.val);
     return true;
   }
@@ -96,6 +102,7 @@
     this.#onContact(sentMs);
     for (const row of read.val.rows) listener.onChange(row);
     this.#revision = Math.max(after, read.val.revision);
+    this.#floor = this.#revision;
     return true;
   }
 
