feat(leader): what was learnt outlives a leader; stalled runs move; a former life is replaced at once

Cause: after a takeover pressures were learnt anew; after a loss of all VMs a candidate waited 1.3 to 1.8 s for its own former life; runs on hanging workers stood still.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -204,6 +204,9 @@
     );
     attempt ??= this.#attach(task, running.run, worker, sentMs);
     attempt.missing = 0;
+    if (attempt.percent !== running.percent || attempt.pacePercent < 100) {
+      attempt.progressMs = nowMs;
+    }
     attempt.percent = running.percent;
     attempt.figure = running.figure;
     const { targetMs } = task.stepRun.step;
@@ -241,6 +244,7 @@
   /** Orders a run to stop; it counts until its end is reported. */
   stop(attempt: Attempt, reason: string): void {
     attempt.phase = AttemptPhase.Stopping;
+    attempt.worker.touch();
     const { stepRun, index } = attempt.task;
     this.#listener.onStop({
       worker: attempt.worker,
@@ -378,6 +382,7 @@
       figure: 0,
       overSinceMs: undefined,
       percent: 0,
+      progressMs: sentMs,
       missing: 0,
       stoppedMs: undefined,
     };
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -4,6 +4,7 @@
 import type { Job } from "./job";
 import type { JobState } from "./job_state";
 import type { Leadership } from "./leadership_row";
+import type { LearntPressures } from "./pressure_model";
 
 /** Prefixes of the rows that the system keeps. */
 export enum RowPrefix {
@@ -21,6 +22,9 @@
 /** Key of the row of the leading scheduler. */
 export const LEADER_KEY = `${RowPrefix.Leader}current`;
 
+/** Key of what leaders have learnt; it may be missing or old. */
+export const LEARNT_KEY = `${RowPrefix.Leader}learnt`;
+
 /** Key of a job's own row. */
 export function jobKey(id: string): string {
   return `${RowPrefix.Jobs}${id}`;
@@ -75,6 +79,15 @@
   return parse<Leadership>(row.value, "epoch");
 }
 
+/** Reads what leaders have learnt; `Malformed` when it is nothing of that. */
+export function readLearnt(
+  row: Pick<Row, "value">,
+): Result<LearntPressures, Fault> {
+  return parse<{ pressures: LearntPressures }>(row.value, "pressures").map(
+    ({ pressures }) => pressures,
+  );
+}
+
 function parse<T extends object>(
   text: string,
   member: keyof T,
--- a/packages/jobs/src/pressure_model.ts
+++ b/packages/jobs/src/pressure_model.ts
@@ -1,5 +1,5 @@
 import type { Step } from "./job";
-import { RidgeRegression } from "./ridge_regression";
+import { RidgeRegression, type Slopes } from "./ridge_regression";
 import { type Attempt, AttemptPhase } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -36,6 +36,20 @@
   solvedMs: number;
 }
 
+/** What was learnt of a serving image. */
+export interface LearntPressure extends Slopes {
+  readonly bestTailMs: number;
+}
+
+/** What was learnt, by serving image. */
+export type LearntPressures = Readonly<Record<string, LearntPressure>>;
+
+interface ServingState {
+  readonly attempt: Attempt;
+  readonly utilization: number;
+  readonly risk: number;
+}
+
 /**
  * Learns how much tasks that fill press on tasks that serve, by pairs of
  * images. A serving task's utilization is taken as its own load plus, for each
@@ -47,14 +61,20 @@
   /** Estimates of attempts' own loads. */
   readonly #loads = new WeakMap<Attempt, number>();
 
+  readonly #states = new WeakMap<
+    WorkerRecord,
+    { readonly change: number; readonly states: readonly ServingState[] }
+  >();
+
   /** Takes in the figures that a worker has just reported. */
   observe(worker: WorkerRecord, nowMs: number): void {
-    if (worker.serving === 0) return;
+    if (worker.serving.size === 0) return;
     const fillers = listFillers(worker);
-    for (const attempt of listServing(worker)) {
+    for (const attempt of worker.serving) {
       if (attempt.figure <= 0 || attempt.percent < 100) continue;
       this.#learn(attempt, fillers, nowMs);
     }
+    worker.touch();
   }
 
   /** Learnt pressure of a filler's image on a serving image. */
@@ -66,9 +86,7 @@
 
   /** Estimated utilization of a serving task, with what fills beside it. */
   utilizationOf(attempt: Attempt): number {
-    return (
-      this.loadOf(attempt) + this.#sum(attempt, listFillers(attempt.worker))
-    );
+    return this.loadOf(attempt) + this.#sum(attempt, attempt.worker.fillers);
   }
 
   /** Estimated own load of a serving task. */
@@ -94,13 +112,12 @@
   harmOf(step: Step, worker: WorkerRecord, nowMs: number): number {
     const share = step.resources.cpuMilli / worker.info.capacity.cpuMilli;
     let harm = 0;
-    for (const attempt of listServing(worker)) {
+    for (const { attempt, utilization, risk } of this.#statesOf(worker)) {
       const overMs = nowMs - (attempt.overSinceMs ?? nowMs);
       if (overMs > BARRED_MS) return BARRED_HARM;
       const { image } = attempt.task.stepRun.step;
-      const before = this.utilizationOf(attempt);
-      const after = before + this.pressureOf(step.image, image) * share;
-      harm += this.riskAt(attempt, after) - this.riskAt(attempt, before);
+      const after = utilization + this.pressureOf(step.image, image) * share;
+      harm += this.riskAt(attempt, after) - risk;
     }
     return harm;
   }
@@ -110,31 +127,51 @@
     return this.#sum(serving, [filler]);
   }
 
-  /** Learnt pressures by serving image and filler's image, for operators. */
-  dump(fillerImages: Iterable<string>): object {
-    const names = [...fillerImages];
-    return Object.fromEntries(
-      [...this.#images].map(([image, { regression }]) => [
-        image,
-        Object.fromEntries(
-          names.map((name) => [name, roundCents(regression.slopeOf(name))]),
-        ),
-      ]),
-    );
+  /** What was learnt, by serving image, for the next leader. */
+  export(): LearntPressures {
+    const learnt: Record<string, LearntPressure> = {};
+    for (const [image, { regression, bestTailMs }] of this.#images) {
+      learnt[image] = { bestTailMs, ...regression.slopes };
+    }
+    return learnt;
   }
 
-  #sum(serving: Attempt, fillers: readonly Attempt[]): number {
+  /** Takes over what a former leader has learnt. */
+  import(learnt: LearntPressures): void {
+    for (const [image, { bestTailMs, ...slopes }] of Object.entries(learnt)) {
+      const known = this.#imageOf(image);
+      known.bestTailMs = Math.min(known.bestTailMs, bestTailMs);
+      known.regression.seed(slopes);
+    }
+  }
+
+  #sum(serving: Attempt, fillers: Iterable<Attempt>): number {
     const { image } = serving.task.stepRun.step;
     let sum = 0;
     for (const filler of fillers) {
+      if (filler.phase === AttemptPhase.Stopping) continue;
       const fillerImage = filler.task.stepRun.step.image;
       sum += this.pressureOf(fillerImage, image) * activeShareOf(filler);
     }
     return sum;
   }
 
+  /** The serving tasks of a worker, worked out again after each change. */
+  #statesOf(worker: WorkerRecord): readonly ServingState[] {
+    const known = this.#states.get(worker);
+    if (known?.change === worker.change) return known.states;
+    const states = [...worker.serving].map((attempt) => {
+      const utilization = this.utilizationOf(attempt);
+      const risk = this.riskAt(attempt, utilization);
+      return { attempt, utilization, risk };
+    });
+    this.#states.set(worker, { change: worker.change, states });
+    return states;
+  }
+
   #learn(attempt: Attempt, fillers: readonly Attempt[], nowMs: number): void {
-    const known = this.#imageOf(attempt);
+    const { image } = attempt.task.stepRun.step;
+    const known = this.#imageOf(image);
     known.bestTailMs = Math.min(known.bestTailMs, attempt.figure);
     const best = known.bestTailMs;
     const observed = 1 - best / attempt.figure;
@@ -161,8 +198,7 @@
     this.#loads.set(attempt, Math.min(MOST_LOAD, Math.max(LEAST_LOAD, next)));
   }
 
-  #imageOf({ task }: Attempt): ServingImage {
-    const { image } = task.stepRun.step;
+  #imageOf(image: string): ServingImage {
     let known = this.#images.get(image);
     if (known === undefined) {
       known = {
@@ -182,21 +218,9 @@
   return ((cpuMilli / worker.info.capacity.cpuMilli) * pacePercent) / 100;
 }
 
-function roundCents(value: number): number {
-  return Math.round(value * 100) / 100;
-}
-
-/** Attempts on a worker that serve and have a target. */
-export function listServing(worker: WorkerRecord): Attempt[] {
-  return [...worker.attempts].filter(
-    ({ task }) => task.stepRun.step.targetMs > 0,
-  );
-}
-
 /** Attempts on a worker that fill what others leave and are not stopping. */
 export function listFillers(worker: WorkerRecord): Attempt[] {
-  return [...worker.attempts].filter(
-    ({ task, phase }) =>
-      task.stepRun.step.isFiller && phase !== AttemptPhase.Stopping,
+  return [...worker.fillers].filter(
+    ({ phase }) => phase !== AttemptPhase.Stopping,
   );
 }
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -1,4 +1,4 @@
-import { listFillers, listServing, type PressureModel } from "./pressure_model";
+import { listFillers, type PressureModel } from "./pressure_model";
 import { type Attempt, AttemptPhase } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -45,7 +45,7 @@
 ): ReliefOrder[] {
   const fillers = listFillers(worker);
   if (fillers.length === 0 || nowMs - worker.relievedMs < SETTLE_MS) return [];
-  const serving = listServing(worker).filter(({ percent }) => percent === 100);
+  const serving = [...worker.serving].filter(({ percent }) => percent === 100);
   let worst = 0;
   const orders = new Map<Attempt, ReliefOrder>();
   for (const attempt of serving) {
--- a/packages/jobs/src/ridge_regression.ts
+++ b/packages/jobs/src/ridge_regression.ts
@@ -3,6 +3,17 @@
 /** Part of the weight of all earlier samples that stays with each new one. */
 const MEMORY = 0.9995;
 
+/** Weight of what another regression has found. */
+const SEED_WEIGHT = 2;
+
+/** What a regression has found. */
+export interface Slopes {
+  /** The constant term. */
+  readonly base: number;
+  /** By feature. */
+  readonly slopes: Readonly<Record<string, number>>;
+}
+
 /** A sample's share of a feature. */
 export interface Feature {
   readonly name: string;
@@ -65,6 +76,25 @@
     this.#solution = eliminate(this.#sums.map((row) => [...row]));
   }
 
+  /** Takes over what another regression has found. */
+  seed({ base, slopes }: Slopes): void {
+    this.#assume(0, base);
+    for (const [name, slope] of Object.entries(slopes)) {
+      this.#assume(this.#placeOf(name), slope);
+    }
+    this.#isStale = true;
+    this.solve();
+  }
+
+  /** What was found, for another regression to begin with. */
+  get slopes(): Slopes {
+    const slopes: Record<string, number> = {};
+    for (const name of this.#places.keys()) {
+      slopes[name] = roundCents(this.slopeOf(name));
+    }
+    return { base: roundCents(this.base), slopes };
+  }
+
   /** Slope of a feature, as last worked out. */
   slopeOf(name: string): number {
     const place = this.#places.get(name);
@@ -77,6 +107,14 @@
     return this.#solution[0] ?? this.#priorBase;
   }
 
+  #assume(place: number, value: number): void {
+    const row = this.#sums[place];
+    if (row === undefined) return;
+    row[place] = (row[place] ?? 0) + SEED_WEIGHT;
+    const end = row.length - 1;
+    row[end] = (row[end] ?? 0) + SEED_WEIGHT * value;
+  }
+
   #priorAt(place: number): number {
     return place === 0 ? this.#priorBase : this.#priorSlope;
   }
@@ -126,3 +164,7 @@
   }
   return solution;
 }
+
+function roundCents(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -4,6 +4,7 @@
 import { compareRanks, type JobRank, rankJob } from "./job_order";
 import { hasAttempts } from "./job_record";
 import { isFinal } from "./job_state";
+import { Misfits } from "./misfits";
 import type { PressureModel } from "./pressure_model";
 import {
   type Attempt,
@@ -36,12 +37,13 @@
 export function planStarts(board: JobBoard, options: PlanOptions): Attempt[] {
   const starts: Attempt[] = [];
   const pools = listUsable(board, options);
+  const misfits = new Misfits();
   for (const record of rankJobs(board, options)) {
     const workers = pools.get(record.queue?.pool ?? "") ?? [];
     if (workers.length === 0) continue;
     for (const stepRun of listReadySteps(record, options.wallMs)) {
       if (starts.length >= options.limit) return starts;
-      planStep(board, { stepRun, workers, starts, options });
+      planStep(board, { stepRun, workers, starts, misfits, options });
     }
   }
   return starts;
@@ -70,6 +72,7 @@
   readonly stepRun: StepRun;
   readonly workers: readonly WorkerRecord[];
   readonly starts: Attempt[];
+  readonly misfits: Misfits;
   readonly options: PlanOptions;
 }
 
@@ -85,11 +88,19 @@
     planGang(board, plan, waiting);
     return;
   }
+  const pool = stepRun.record.queue?.pool ?? "";
   for (const task of waiting) {
     if (plan.starts.length >= options.limit) return;
+    const harmLimit = harmLimitOf(stepRun, options);
+    if (plan.misfits.has(pool, stepRun.step, harmLimit)) return;
     const worker = chooseWorker(stepRun, plan.workers, options);
-    // Its tasks are alike: where one does not fit, none does.
-    if (worker === undefined) return;
+    if (worker === undefined) {
+      // A limit by the step's own tasks says nothing of other steps.
+      if (stepRun.step.perWorkerLimit === 0) {
+        plan.misfits.add(pool, stepRun.step, harmLimit);
+      }
+      return;
+    }
     const run = task.lastRun + 1;
     plan.starts.push(board.onSent(task, run, worker, options.nowMs));
     stepRun.idleSinceMs = undefined;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -31,6 +31,8 @@
   overSinceMs: number | undefined;
   /** Progress or share of full speed, as last reported. */
   percent: number;
+  /** Monotonic ms at which its progress last grew. */
+  progressMs: number;
   /** Reports in a row that did not list it. */
   missing: number;
   /** Monotonic ms at which the worker answered a stop; undefined: not yet. */
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -1,5 +1,5 @@
 import type { Step } from "./job";
-import { listFillers, listServing, type PressureModel } from "./pressure_model";
+import { listFillers, type PressureModel } from "./pressure_model";
 import type { StepRun } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -98,7 +98,7 @@
 ): number {
   let score = 0;
   const images = new Set<string>();
-  for (const { task } of listServing(worker)) {
+  for (const { task } of worker.serving) {
     images.add(task.stepRun.step.image);
   }
   if (images.has(step.image)) score += SAME_IMAGE_SCORE;
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -22,6 +22,8 @@
   /** Ends of runs whose jobs are not known yet. */
   orphans: EndedRun[] = [];
   readonly attempts = new Set<Attempt>();
+  /** Grows when something changes that bears on its tasks' tails. */
+  change = 0;
   /** Processor time reserved, in thousandths of a core. */
   cpuMilli = 0;
   memoryMb = 0;
@@ -29,7 +31,9 @@
   /** What fillers would use, in thousandths of a core. */
   fillerMilli = 0;
   /** Attempts that serve and have a target. */
-  serving = 0;
+  readonly serving = new Set<Attempt>();
+  /** Attempts that use what others leave. */
+  readonly fillers = new Set<Attempt>();
   /** Monotonic ms until which it gets no new task. */
   asideUntilMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms at which fillers last gave way here. */
@@ -45,12 +49,18 @@
   /** Counts an attempt in. */
   add(attempt: Attempt): void {
     this.attempts.add(attempt);
+    const { isFiller, targetMs } = attempt.task.stepRun.step;
+    if (isFiller) this.fillers.add(attempt);
+    if (targetMs > 0) this.serving.add(attempt);
     this.#count(attempt, 1);
   }
 
   /** Counts an attempt out. */
   remove(attempt: Attempt): void {
-    if (this.attempts.delete(attempt)) this.#count(attempt, -1);
+    if (!this.attempts.delete(attempt)) return;
+    this.fillers.delete(attempt);
+    this.serving.delete(attempt);
+    this.#count(attempt, -1);
   }
 
   /** Highest end up to which all are of known jobs. */
@@ -64,12 +74,17 @@
     return this.info.capacity.cpuMilli - this.cpuMilli - this.fillerMilli;
   }
 
+  /** What its tasks do, or how fast, has changed. */
+  touch(): void {
+    this.change += 1;
+  }
+
   #count({ task }: Attempt, sign: 1 | -1): void {
-    const { resources, isFiller, targetMs } = task.stepRun.step;
+    this.touch();
+    const { resources, isFiller } = task.stepRun.step;
     if (isFiller) this.fillerMilli += sign * resources.cpuMilli;
     else this.cpuMilli += sign * resources.cpuMilli;
     this.memoryMb += sign * resources.memoryMb;
     this.accelerators += sign * resources.accelerators;
-    if (targetMs > 0) this.serving += sign;
   }
 }
--- a/packages/leader/src/leadership.ts
+++ b/packages/leader/src/leadership.ts
@@ -17,9 +17,9 @@
 /** Pause between two looks at the leader's row, in ms. */
 const POLL_MS = 300;
 /** Silence of the leader after which it is replaced, in ms. */
-const PATIENCE_MS = 1300;
+const PATIENCE_MS = 1000;
 /** Candidates differ in patience by up to this, in ms. */
-const SPREAD_MS = 500;
+const SPREAD_MS = 300;
 /** Patience grows with the time that the table takes to answer. */
 const SLOW_TABLE_FACTOR = 3;
 
@@ -110,12 +110,20 @@
 
   #isVacant(): boolean {
     if (this.#revision === 0 || this.#view?.row.isReleased) return true;
+    if (this.#isOwnFormerLife()) return true;
     const { clock, spread } = this.#options;
     const patienceMs =
       PATIENCE_MS + spread * SPREAD_MS + SLOW_TABLE_FACTOR * this.#answerMs;
     return clock.nowMs() - this.#changedMs > patienceMs;
   }
 
+  /** An earlier life of this process leads: it has ended. */
+  #isOwnFormerLife(): boolean {
+    const { member, instance } = this.#options;
+    const row = this.#view?.row;
+    return row?.holder === member && row.instance !== instance;
+  }
+
   async #acquire(): Promise<TermStart | undefined> {
     const { clock, table, member, instance, journal } = this.#options;
     const former = this.#revision === 0 ? undefined : this.#view?.row;
@@ -143,7 +151,8 @@
       former: former?.holder,
       silentMs: Math.round(sentMs - this.#changedMs),
     });
-    const wasReleased = former === undefined || former.isReleased;
+    const wasReleased =
+      former === undefined || former.isReleased || this.#isOwnFormerLife();
     return { held, heldMs: sentMs, takenMs: clock.nowMs(), wasReleased };
   }
 
--- a/packages/leader/src/progress_log.ts
+++ b/packages/leader/src/progress_log.ts
@@ -5,6 +5,7 @@
 import { stateOf } from "@laburnumtrack/jobs/job_record";
 import {
   LEADER_KEY,
+  LEARNT_KEY,
   readLeadership,
   stateKey,
 } from "@laburnumtrack/jobs/job_rows";
@@ -32,6 +33,8 @@
   readonly heldMs: number;
   readonly workers: () => Iterable<WorkerRecord>;
   readonly pending: () => Record<string, number>;
+  /** What was learnt, for the next leader. */
+  readonly learnt: () => object;
   /** The job's end is stored. */
   readonly onFinalStored: (record: JobRecord) => void;
 }
@@ -42,6 +45,8 @@
 const RENEW_MS = 400;
 /** Pause after a commit that the table turned away, in ms. */
 const RETRY_MS = 100;
+/** Time between two writes of what was learnt, in ms. */
+const LEARNT_MS = 2000;
 /** Jobs in one commit; the platform takes at most 100 entries. */
 const JOBS_PER_COMMIT = 90;
 
@@ -56,6 +61,7 @@
   readonly #dirty = new Map<string, JobRecord>();
   #held: HeldLeadership;
   #confirmedMs: number;
+  #learntMs = Number.NEGATIVE_INFINITY;
   #isLost = false;
   #isFailing = false;
 
@@ -64,6 +70,7 @@
     this.#wake = new Signal(options.clock);
     this.#held = options.held;
     this.#confirmedMs = options.heldMs;
+    this.#learntMs = options.heldMs;
   }
 
   /** Monotonic ms at which the last commit that took effect was sent. */
@@ -127,7 +134,11 @@
     const sentMs = clock.nowMs();
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
-      writes: [toWrite(row), ...batch.map(toStateWrite)],
+      writes: [
+        toWrite(row),
+        ...batch.map(toStateWrite),
+        ...this.#writeLearnt(sentMs, isReleased),
+      ],
     });
     metrics.recordMs("progress_commit", clock.nowMs() - sentMs);
     const revision = done.ok
@@ -147,6 +158,14 @@
     return true;
   }
 
+  /** What was learnt goes with a commit now and then. */
+  #writeLearnt(nowMs: number, isReleased: boolean): Write[] {
+    if (nowMs - this.#learntMs < LEARNT_MS && !isReleased) return [];
+    this.#learntMs = nowMs;
+    const value = JSON.stringify({ pressures: this.#options.learnt() });
+    return [{ key: LEARNT_KEY, value }];
+  }
+
   /** Finds out what became of a commit that was not answered with success. */
   async #resolve(row: Leadership, fault: Fault): Promise<number | undefined> {
     const { table, journal } = this.#options;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -11,15 +11,18 @@
 import { hasAttempts } from "@laburnumtrack/jobs/job_record";
 import {
   idOfKey,
+  LEARNT_KEY,
   RowPrefix,
   readJobRow,
+  readLearnt,
   readState,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, type JobState } from "@laburnumtrack/jobs/job_state";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
-import { listFillers, PressureModel } from "@laburnumtrack/jobs/pressure_model";
+import { PressureModel } from "@laburnumtrack/jobs/pressure_model";
 import { planRelief, Relief } from "@laburnumtrack/jobs/pressure_relief";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import { listStalled, setStalledAside } from "@laburnumtrack/jobs/stalled_runs";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, Task } from "@laburnumtrack/jobs/task";
 import type { EndedRun, TaskWorker } from "@laburnumtrack/jobs/task_worker";
@@ -67,6 +70,8 @@
 
 /** Pause between two rounds of planning, in ms. */
 const PLAN_PAUSE_MS = 5;
+/** Pause between two rounds for each ms that the last one took. */
+const PLAN_PAUSE_FACTOR = 3;
 /** Longest time without a round, in ms: due times and pauses are looked at. */
 const PLAN_IDLE_MS = 100;
 /** Starts in one round. */
@@ -140,6 +145,7 @@
       heldMs: start.heldMs,
       workers: () => this.board.workers.values(),
       pending: () => countPending(this.board),
+      learnt: () => this.#model.export(),
       onFinalStored: (record) => {
         this.#stored.add(record.job.id);
         this.#finished.add(record.job.id);
@@ -208,7 +214,7 @@
       leader: this.#log.row,
       backlog: this.#log.backlog,
       isSettled: this.#isSettled,
-      pressures: this.#dumpPressures(),
+      pressures: this.#model.export(),
       jobs: [...jobs.values()].map((record) => ({
         id: record.job.id,
         queue: record.job.queue,
@@ -233,6 +239,7 @@
 
   async #load(followers: readonly RowFollower[]): Promise<boolean> {
     const { table, clock } = this.#options;
+    await this.#readLearnt();
     while (!this.#over.signal.aborted && !this.#isLost) {
       const states = await table.snapshot(RowPrefix.States);
       // An older read may lack what the former leader stored last.
@@ -249,6 +256,16 @@
     return false;
   }
 
+  /** Takes over what former leaders learnt; without it, it is learnt anew. */
+  async #readLearnt(): Promise<void> {
+    const read = await this.#options.table.get([LEARNT_KEY]);
+    const row = read.ok ? read.val[0] : undefined;
+    if (row === undefined) return;
+    const learnt = readLearnt(row);
+    if (learnt.ok) this.#model.import(learnt.val);
+    else this.#onMalformed(LEARNT_KEY, learnt.val.message);
+  }
+
   async #release(): Promise<void> {
     const { clock } = this.#options;
     let isReleased = false;
@@ -262,8 +279,13 @@
   async #planUntilOver(): Promise<void> {
     const { clock } = this.#options;
     while (!this.#over.signal.aborted && !this.#isLost) {
+      const startMs = clock.nowMs();
       this.#planOnce();
-      await clock.sleep(PLAN_PAUSE_MS, this.#over.signal);
+      const spentMs = clock.nowMs() - startMs;
+      this.#options.metrics.recordMs("plan_round", spentMs);
+      // Planning leaves the processor to orders and reports in between.
+      const pauseMs = Math.max(PLAN_PAUSE_MS, spentMs * PLAN_PAUSE_FACTOR);
+      await clock.sleep(pauseMs, this.#over.signal);
       await this.#plan.wait(PLAN_IDLE_MS);
     }
   }
@@ -278,7 +300,7 @@
         jobs: this.board.jobs.size,
         workers: this.board.workers.size,
         backlog: this.#log.backlog,
-        pressures: this.#dumpPressures(),
+        pressures: this.#model.export(),
       });
     }
   }
@@ -501,7 +523,10 @@
         this.#plan.set();
         this.#log.wake();
       },
-      onReport: (reported) => this.#relieve(reported),
+      onReport: (reported) => {
+        this.#relieve(reported);
+        this.#moveStalled(reported);
+      },
     });
     const gone = new AbortController();
     this.#links.set(worker.id, { link, gone });
@@ -564,6 +589,27 @@
     }
   }
 
+  /** Starts runs anew elsewhere that stand still where they are. */
+  #moveStalled(worker: WorkerRecord): void {
+    const nowMs = this.#options.clock.nowMs();
+    const stalled = listStalled(worker, nowMs);
+    if (stalled.length === 0) return;
+    setStalledAside(worker, nowMs);
+    this.#options.metrics.count("stalled_runs", stalled.length);
+    this.#options.journal.info("Runs stand still and are started elsewhere.", {
+      worker: worker.id,
+      attempts: worker.attempts.size,
+      stalled: stalled.map(({ task, run, percent }) => ({
+        job: task.stepRun.record.job.id,
+        step: task.stepRun.number,
+        task: task.index,
+        run,
+        percent,
+      })),
+    });
+    for (const attempt of stalled) this.board.stop(attempt, "stands still");
+  }
+
   #onEnd(task: Task, { end, run }: EndedRun, worker: WorkerRecord): void {
     const { metrics, journal } = this.#options;
     metrics.count(`ends{end="${end}"}`);
@@ -617,16 +663,6 @@
     this.#options.journal.warn("A row cannot be read.", { key, cause });
   }
 
-  #dumpPressures(): object {
-    const images = new Set<string>();
-    for (const worker of this.board.workers.values()) {
-      for (const { task } of listFillers(worker)) {
-        images.add(task.stepRun.step.image);
-      }
-    }
-    return this.#model.dump(images);
-  }
-
   #onFailure(error: unknown): void {
     this.#options.journal.error("A task of the leader failed.", {
       error: error instanceof Error ? error.stack : String(error),
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -142,8 +142,12 @@
     const { task, run } = attempt;
     const order = { task: nameOf(task), run, epoch };
     const done = await port.pace(this.worker.info, order, percent);
-    if (done.err) this.#onOrderFault(done.val);
-    else attempt.pacePercent = percent;
+    if (done.err) {
+      this.#onOrderFault(done.val);
+      return;
+    }
+    attempt.pacePercent = percent;
+    this.worker.touch();
   }
 
   async #sendStop({ task, run }: StopRequest): Promise<void> {
@@ -199,7 +203,9 @@
 
   get #waitMs(): number {
     const { serving, fillerMilli } = this.worker;
-    return serving > 0 && fillerMilli > 0 ? PRESSED_WAIT_MS : RENEW_WAIT_MS;
+    return serving.size > 0 && fillerMilli > 0
+      ? PRESSED_WAIT_MS
+      : RENEW_WAIT_MS;
   }
 
   #onReport(report: WorkerReport, sentMs: number): void {
