--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -275,7 +275,7 @@
       unit: "ms",
       min: 50,
       max: 60_000,
-      fallback: "300",
+      fallback: "600",
       help: "Longest wait for a worker's answer to an order.",
     },
     {
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -379,6 +379,7 @@
       sentMs,
       confirmedMs: undefined,
       pacePercent: 100,
+      pausedMs: undefined,
       figure: 0,
       overSinceMs: undefined,
       percent: 0,
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -31,6 +31,8 @@
 
 /** All fillers yield to a task that misses its target for this long, in ms. */
 const PATIENCE_MS = 1200;
+/** A filler that stands still for this long is moved, in ms. */
+const PAUSE_LIMIT_MS = 1200;
 /** A measured tail shows relief after this time, in ms. */
 const SETTLE_MS = 700;
 
@@ -58,14 +60,17 @@
         ? fillers.filter(({ pacePercent }) => pacePercent > 0)
         : chooseYielding(model, attempt, fillers);
     for (const filler of yielding) {
-      const relief = canMove(filler) ? Relief.Move : Relief.Pause;
-      orders.set(filler, { filler, relief, ratio });
+      orders.set(filler, { filler, relief: Relief.Pause, ratio });
     }
   }
   if (orders.size > 0) worker.relievedMs = nowMs;
+  for (const filler of fillers) {
+    if (!hasWaited(filler, nowMs) || !canMove(filler)) continue;
+    orders.set(filler, { filler, relief: Relief.Move, ratio: worst });
+  }
   if (worst > RELEASE_RATIO) return [...orders.values()];
   for (const filler of fillers) {
-    if (filler.pacePercent === 100) continue;
+    if (filler.pacePercent === 100 || orders.has(filler)) continue;
     const { step } = filler.task.stepRun;
     if (model.harmOf(step, worker, nowMs) > RELEASE_HARM) continue;
     orders.set(filler, { filler, relief: Relief.Release, ratio: worst });
@@ -97,6 +102,10 @@
   return chosen;
 }
 
+function hasWaited({ pausedMs }: Attempt, nowMs: number): boolean {
+  return pausedMs !== undefined && nowMs - pausedMs > PAUSE_LIMIT_MS;
+}
+
 function canMove({ task, phase }: Attempt): boolean {
   return task.stepRun.step.isCheckpointing && phase === AttemptPhase.Running;
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -25,6 +25,8 @@
   confirmedMs: number | undefined;
   /** Share of full speed that it was told to keep, in percent. */
   pacePercent: number;
+  /** Monotonic ms since which it is to stand still; undefined: it is not. */
+  pausedMs: number | undefined;
   /** Tail latency in ms, or processor use, as last reported. */
   figure: number;
   /** Monotonic ms since which its tail is over the target; undefined: it is not. */
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -74,8 +74,8 @@
 const PLAN_PAUSE_FACTOR = 3;
 /** Longest time without a round, in ms: due times and pauses are looked at. */
 const PLAN_IDLE_MS = 100;
-/** Starts in one round. */
-const PLAN_LIMIT = 64;
+/** Starts that wait for an answer; more would only wait in this process. */
+const OPEN_STARTS = 32;
 /** A worker with no report for this long gets no new task, in ms. */
 const REPORT_AGE_MS = 2200;
 /** A worker's clock may be slow by 2%; the rest allows for the way. */
@@ -113,6 +113,7 @@
   /** Jobs that ended in this term. */
   readonly #finished = new Set<string>();
   readonly #settledMs: number;
+  #openStarts = 0;
   #isSettled = false;
   #configVersion = 0;
   #isFenced = false;
@@ -310,11 +311,13 @@
     this.#sweep();
     this.#followConfig();
     if (!this.#right.isValid || !this.#checkSettled()) return;
+    const limit = OPEN_STARTS - this.#openStarts;
+    if (limit <= 0) return;
     const nowMs = clock.nowMs();
     const starts = planStarts(this.board, {
       nowMs,
       wallMs: clock.wallMs(),
-      limit: PLAN_LIMIT,
+      limit,
       model: this.#model,
       isUsable: (worker) => this.#isUsable(worker, nowMs),
       isSettled: () => true,
@@ -322,7 +325,6 @@
     if (starts.length === 0) return;
     this.#logStarts(starts);
     for (const attempt of starts) this.#sendStart(attempt);
-    if (starts.length >= PLAN_LIMIT) this.#plan.set();
   }
 
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
@@ -555,7 +557,13 @@
       this.board.onRefused(attempt, this.#options.clock.nowMs());
       return;
     }
-    this.#spawn(link.start(attempt));
+    this.#openStarts += 1;
+    this.#spawn(
+      link.start(attempt).finally(() => {
+        this.#openStarts -= 1;
+        this.#plan.set();
+      }),
+    );
   }
 
   #sendStop(stop: StopRequest): void {
@@ -584,7 +592,9 @@
         continue;
       }
       const link = this.#links.get(worker.id)?.link;
-      const percent = relief === Relief.Pause ? 0 : 100;
+      const isPause = relief === Relief.Pause;
+      filler.pausedMs = isPause ? nowMs : undefined;
+      const percent = isPause ? 0 : 100;
       if (link !== undefined) this.#spawn(link.pace(filler, percent));
     }
   }
