--- /dev/null
+++ b/packages/desk/src/job_desk_test.ts
@@ -0,0 +1,149 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FaultCode } from "@laburnumtrack/core/fault";
+import type { Job } from "@laburnumtrack/jobs/job";
+import { JobPhase } from "@laburnumtrack/jobs/job_state";
+import { createStep } from "@laburnumtrack/jobs/test_samples";
+import {
+  FeedTableStandin,
+  TableTrouble,
+} from "@laburnumtrack/standins/feed_table_standin";
+import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
+import type { Result } from "ts-results";
+import { JobDesk } from "./job_desk";
+
+const JOB: Job = {
+  id: "00000000000000aa",
+  queue: "q",
+  spec: "",
+  steps: [createStep()],
+  repeat: undefined,
+  submittedMs: 0,
+};
+const WAIT_MS = 3000;
+
+interface Stage {
+  readonly desk: JobDesk;
+  readonly table: FeedTableStandin;
+  readonly clock: VirtualClock;
+}
+
+const CASES: readonly {
+  readonly name: string;
+  /** What callers do, one after the other; the last answer is compared. */
+  readonly calls: readonly ((stage: Stage) => Promise<unknown>)[];
+  readonly answer: unknown;
+}[] = [
+  { name: "a job is stored", calls: [submit], answer: "stored" },
+  {
+    name: "a repeated job is one job",
+    calls: [submit, submit],
+    answer: "known",
+  },
+  {
+    name: "a job is queued",
+    calls: [submit, readPhase],
+    answer: JobPhase.Queued,
+  },
+  { name: "an unknown job", calls: [readPhase], answer: FaultCode.NotFound },
+  {
+    name: "cancelling an unknown job",
+    calls: [cancel],
+    answer: FaultCode.NotFound,
+  },
+  {
+    name: "a cancelled job",
+    calls: [submit, cancel, readPhase],
+    answer: JobPhase.Cancelled,
+  },
+  {
+    name: "a job is cancelled twice",
+    calls: [submit, cancel, cancel],
+    answer: undefined,
+  },
+  {
+    name: "a cancelled job that is sent again stays cancelled",
+    calls: [submit, cancel, submit, readPhase],
+    answer: JobPhase.Cancelled,
+  },
+  {
+    name: "a table that turns calls away: not stored",
+    calls: [trouble(TableTrouble.Down), submit],
+    answer: FaultCode.StoreUnavailable,
+  },
+  {
+    name: "a lost answer is found out: stored",
+    calls: [trouble(TableTrouble.AnswerLost), submit],
+    answer: FaultCode.OutcomeUnknown,
+  },
+  {
+    name: "a table that is silent: unknown, never refused",
+    calls: [trouble(TableTrouble.Silent), submit],
+    answer: FaultCode.OutcomeUnknown,
+  },
+  {
+    name: "unknown at first, turned away later: still unknown",
+    calls: [
+      trouble(TableTrouble.Silent),
+      async (stage) => {
+        const done = submit(stage);
+        await stage.clock.run(stage.clock.nowMs() + 500);
+        stage.table.trouble = TableTrouble.Down;
+        return await done;
+      },
+    ],
+    answer: FaultCode.OutcomeUnknown,
+  },
+  {
+    name: "the answer was lost and the table is well again: known",
+    calls: [
+      trouble(TableTrouble.AnswerLost),
+      async (stage) => {
+        const done = submit(stage);
+        await stage.clock.run(stage.clock.nowMs() + 500);
+        stage.table.trouble = TableTrouble.None;
+        return await done;
+      },
+    ],
+    answer: "known",
+  },
+];
+
+for (const { name, calls, answer } of CASES) {
+  test(`job desk: ${name}`, async () => {
+    const clock = new VirtualClock();
+    const table = new FeedTableStandin(clock);
+    const stage = { clock, table, desk: new JobDesk({ clock, table }) };
+    let last: unknown;
+    for (const call of calls) {
+      const done = call(stage);
+      for (let step = 0; step < 8; step += 1) {
+        await clock.run(clock.nowMs() + 500);
+      }
+      last = await done;
+    }
+    assert.equal(last, answer);
+  });
+}
+
+async function submit({ desk, clock }: Stage): Promise<unknown> {
+  return outcomeOf(await desk.submit(JOB, clock.nowMs() + WAIT_MS));
+}
+
+async function cancel({ desk, clock }: Stage): Promise<unknown> {
+  return outcomeOf(await desk.cancel(JOB.id, clock.nowMs() + WAIT_MS));
+}
+
+async function readPhase({ desk, clock }: Stage): Promise<unknown> {
+  return outcomeOf(await desk.readPhase(JOB.id, clock.nowMs() + WAIT_MS));
+}
+
+function trouble(kind: TableTrouble): (stage: Stage) => Promise<void> {
+  return async ({ table }) => {
+    table.trouble = kind;
+  };
+}
+
+function outcomeOf(result: Result<unknown, { code: FaultCode }>): unknown {
+  return result.ok ? result.val : result.val.code;
+}
--- /dev/null
+++ b/packages/desk/src/queue_watch_test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
+import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import { QueueSource } from "@laburnumtrack/jobs/worker_registry";
+import { createJournal } from "@laburnumtrack/process/journal";
+import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
+import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
+import { Err, Ok, type Result } from "ts-results";
+import { QueueWatch } from "./queue_watch";
+
+const CASES: readonly {
+  readonly name: string;
+  readonly written: readonly string[];
+  readonly version: number;
+}[] = [
+  { name: "nothing was written yet", written: [], version: 0 },
+  { name: "the newest version is in force", written: ["3", "7"], version: 7 },
+  {
+    name: "an old read does not take it back",
+    written: ["7", "3"],
+    version: 7,
+  },
+  {
+    name: "what cannot be read is passed over",
+    written: ["7", "?"],
+    version: 7,
+  },
+];
+
+for (const { name, written, version } of CASES) {
+  test(`queue watch: ${name}`, async () => {
+    const clock = new VirtualClock();
+    const table = new FeedTableStandin(clock);
+    const watch = new QueueWatch({
+      clock,
+      table,
+      journal: createJournal("test", "fatal"),
+      source: new SourceStandin(),
+    });
+    const over = new AbortController();
+    const running = watch.run(over.signal);
+    for (const value of written) {
+      const writes = [{ key: "config/current", value }];
+      const done = table.commit({ checks: [], writes });
+      await clock.run(clock.nowMs() + 500);
+      await done;
+    }
+    assert.equal(watch.current.version, version);
+    over.abort();
+    await clock.run(clock.nowMs() + 2000);
+    await running;
+  });
+}
+
+class SourceStandin extends QueueSource {
+  override readonly prefix = "config/";
+  override readonly key = "config/current";
+
+  override decode(value: string): Result<QueueConfig, Fault> {
+    const version = Number(value);
+    if (Number.isNaN(version)) {
+      return Err(new Fault(FaultCode.Malformed, value));
+    }
+    return Ok({ version, queues: [], pools: [] });
+  }
+}
--- /dev/null
+++ b/packages/faults/src/entry_world.ts
@@ -0,0 +1,231 @@
+import type { Fault } from "@laburnumtrack/core/fault";
+import { JobDesk } from "@laburnumtrack/desk/job_desk";
+import type { Job, Step } from "@laburnumtrack/jobs/job";
+import type { JobPhase } from "@laburnumtrack/jobs/job_state";
+import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
+import { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
+import { Leadership } from "@laburnumtrack/leader/leadership";
+import { createJournal } from "@laburnumtrack/process/journal";
+import { Metrics } from "@laburnumtrack/process/metrics";
+import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
+import {
+  type RunRecord,
+  TaskFleetStandin,
+} from "@laburnumtrack/standins/task_fleet_standin";
+import {
+  ProcessClock,
+  VirtualClock,
+} from "@laburnumtrack/standins/virtual_clock";
+import { Ok, type Result } from "ts-results";
+
+/** A process that can lead, in virtual time. */
+export interface EntryPeer {
+  readonly name: string;
+  readonly clock: ProcessClock;
+  readonly leadership: Leadership;
+  /** Stops it in order; resolves when it has handed over. */
+  readonly stop: () => Promise<void>;
+}
+
+/** How large the world is. */
+export interface EntryWorldOptions {
+  readonly entries: number;
+  readonly workers: number;
+}
+
+const QUEUE = {
+  name: "q",
+  host: "h",
+  pathPrefix: "/q/",
+  pool: "pool",
+  priority: 0,
+  attemptLimit: 3,
+  stretch: 2,
+  targetMs: 1000,
+  advice: undefined,
+};
+const CONFIG: QueueConfig = {
+  version: 1,
+  queues: [QUEUE],
+  pools: [{ name: "pool", isGuarded: true, isStandby: false }],
+};
+const LEASE_MS = 6000;
+const RIGHT_MS = 8000;
+const CAPACITY = { cpuMilli: 16_000, memoryMb: 64_000, accelerators: 0 };
+const SUBMIT_MS = 3000;
+
+/** Entries, workers and a table in virtual time, and what they did. */
+export class EntryWorld {
+  readonly clock = new VirtualClock();
+  readonly table = new FeedTableStandin(this.clock);
+  readonly fleet: TaskFleetStandin;
+  readonly entries: EntryPeer[] = [];
+  readonly #desk: JobDesk;
+  readonly #jobs: string[] = [];
+
+  constructor({ entries, workers }: EntryWorldOptions) {
+    const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
+    this.fleet = new TaskFleetStandin(this.clock, ids);
+    this.#desk = new JobDesk({ clock: this.clock, table: this.table });
+    void this.table.commit({
+      checks: [],
+      writes: ids.map((id) => ({ key: `workers/${id}`, value: id })),
+    });
+    for (let index = 0; index < entries; index += 1) this.#addEntry(index);
+  }
+
+  /** The entry that leads; undefined while none does. */
+  get leader(): EntryPeer | undefined {
+    return this.entries.find(({ leadership }) => leadership.term !== undefined);
+  }
+
+  /** Hands a job in; its spec says what its tasks do. */
+  async submit(
+    id: string,
+    spec: string,
+    steps: Partial<Step>[],
+  ): Promise<void> {
+    const job: Job = {
+      id,
+      queue: "q",
+      spec,
+      steps: steps.map((step) => ({ ...STEP, ...step })),
+      repeat: undefined,
+      submittedMs: this.clock.wallMs(),
+    };
+    this.#jobs.push(id);
+    const done = this.#desk.submit(job, this.clock.nowMs() + SUBMIT_MS);
+    await this.pass(SUBMIT_MS / 10);
+    void done;
+  }
+
+  /** Cancels a job. */
+  async cancel(id: string): Promise<Result<void, Fault>> {
+    const done = this.#desk.cancel(id, this.clock.nowMs() + SUBMIT_MS);
+    await this.pass(SUBMIT_MS / 10);
+    return await done;
+  }
+
+  /** Phases of all jobs that were handed in, as callers read them. */
+  async readPhases(): Promise<JobPhase[]> {
+    const phases: JobPhase[] = [];
+    for (const id of this.#jobs) {
+      const read = this.#desk.readPhase(id, this.clock.nowMs() + SUBMIT_MS);
+      await this.pass(50);
+      const phase = await read;
+      if (phase.ok) phases.push(phase.val);
+    }
+    return phases;
+  }
+
+  /** Lets time pass. */
+  async pass(ms: number): Promise<void> {
+    await this.clock.run(this.clock.nowMs() + ms);
+  }
+
+  /** What broke a promise: two runs at a time, or a run after the last. */
+  findFaults(): string[] {
+    const byTask = new Map<string, RunRecord[]>();
+    for (const record of this.fleet.history) {
+      const records = byTask.get(record.task);
+      if (records === undefined) byTask.set(record.task, [record]);
+      else records.push(record);
+    }
+    return [...byTask.values()].flatMap((records) =>
+      findTaskFaults(records, this.fleet.acknowledged),
+    );
+  }
+
+  /** Runs that ended in a way. */
+  countEnds(end: RunEnd): number {
+    return this.fleet.history.filter((record) => record.end === end).length;
+  }
+
+  #addEntry(index: number): void {
+    const name = `e${index}`;
+    const clock = new ProcessClock(this.clock);
+    const journal = createJournal("test", "fatal");
+    const leadership = new Leadership({
+      clock,
+      table: this.table.viewOf(name),
+      registry: new RegistryStandin(),
+      port: this.fleet,
+      journal,
+      metrics: new Metrics(),
+      config: () => CONFIG,
+      leaseMs: LEASE_MS,
+      rightMs: RIGHT_MS,
+      member: name,
+      instance: name,
+      spread: index,
+      isFit: () => true,
+    });
+    const over = new AbortController();
+    const running = leadership.run(over.signal);
+    this.entries.push({
+      name,
+      clock,
+      leadership,
+      stop: async () => {
+        over.abort();
+        await running;
+      },
+    });
+  }
+}
+
+const STEP: Step = {
+  count: 4,
+  resources: { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 },
+  estimateMs: 500,
+  after: [],
+  isCheckpointing: false,
+  isGang: false,
+  isColocated: false,
+  requiredLabel: "",
+  dataRack: "",
+  perWorkerLimit: 0,
+  isSpeculative: false,
+  isLongRunning: false,
+  image: "",
+  targetMs: 0,
+  isFiller: false,
+  disruptionLimit: 0,
+};
+
+/** Workers of one pool, all alike. */
+class RegistryStandin extends WorkerRegistry {
+  override readonly prefix = "workers/";
+
+  override decode(id: string): Result<RegisteredWorker, Fault> {
+    return Ok({
+      id,
+      pool: "pool",
+      address: id,
+      failureDomain: "d",
+      isDraining: false,
+      capacity: CAPACITY,
+      labels: [],
+      rack: "",
+      bornMs: 0,
+    });
+  }
+}
+
+function findTaskFaults(
+  records: readonly RunRecord[],
+  acknowledged: ReadonlySet<RunRecord>,
+): string[] {
+  const faults: string[] = [];
+  for (const [place, record] of records.entries()) {
+    for (const later of records.slice(place + 1)) {
+      const { task } = record;
+      const endMs = record.endMs ?? Number.POSITIVE_INFINITY;
+      if (later.startMs < endMs) faults.push(`${task} ran twice at a time`);
+      if (acknowledged.has(record))
+        faults.push(`${task} ran again after it was done`);
+    }
+  }
+  return faults;
+}
--- /dev/null
+++ b/packages/faults/src/leader_cases_test.ts
@@ -0,0 +1,245 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { JobPhase } from "@laburnumtrack/jobs/job_state";
+import { RunEnd } from "@laburnumtrack/jobs/task_worker";
+import { TableTrouble } from "@laburnumtrack/standins/feed_table_standin";
+import { EntryWorld } from "./entry_world";
+
+interface Case {
+  readonly name: string;
+  /** Brings the trouble about while jobs are at work. */
+  readonly act: (world: EntryWorld) => Promise<void>;
+  /** Time after the trouble until all jobs have to be over, in ms. */
+  readonly restMs: number;
+  /** Runs that may lapse or be given up; 0: no lease may be lost. */
+  readonly lapses?: number;
+  /** Tasks fail this often before they are done. */
+  readonly failures?: number;
+}
+
+/** Work of a task in ms: longer than a takeover. */
+const WORK_MS = 3000;
+const JOBS = 6;
+
+const CASES: readonly Case[] = [
+  {
+    name: "nothing happens",
+    act: (world) => world.pass(100),
+    restMs: 10_000,
+  },
+  {
+    name: "the leader hands over in order",
+    act: async (world) => {
+      const stopping = world.leader?.stop();
+      await world.pass(3000);
+      await stopping;
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "the leader is frozen and wakes while another leads",
+    act: async (world) => {
+      world.leader?.clock.freeze(5000);
+      await world.pass(8000);
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "the table turns the leader away alone",
+    act: async (world) => {
+      const { name } = world.leader ?? { name: "" };
+      world.table.refused.add(name);
+      await world.pass(6000);
+      world.table.refused.delete(name);
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "the table turns the leader away just before runs end",
+    act: async (world) => {
+      await world.pass(700);
+      const { name } = world.leader ?? { name: "" };
+      world.table.refused.add(name);
+      await world.pass(6000);
+      world.table.refused.delete(name);
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "a worker is cut off while the leader hands over",
+    act: async (world) => {
+      world.fleet.cut.add("w0");
+      const stopping = world.leader?.stop();
+      await world.pass(9000);
+      await stopping;
+      world.fleet.cut.delete("w0");
+    },
+    restMs: 12_000,
+    lapses: 8,
+  },
+  {
+    name: "the table is down for 5 s",
+    act: async (world) => {
+      world.table.trouble = TableTrouble.Down;
+      await world.pass(5000);
+      world.table.trouble = TableTrouble.None;
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "the table is silent for 5 s",
+    act: async (world) => {
+      world.table.trouble = TableTrouble.Silent;
+      await world.pass(5000);
+      world.table.trouble = TableTrouble.None;
+    },
+    restMs: 15_000,
+  },
+  {
+    name: "answers of the table are lost",
+    act: async (world) => {
+      world.table.trouble = TableTrouble.AnswerLost;
+      await world.pass(4000);
+      world.table.trouble = TableTrouble.None;
+    },
+    restMs: 15_000,
+  },
+  {
+    name: "commits take effect late",
+    act: async (world) => {
+      world.table.trouble = TableTrouble.Late;
+      await world.pass(4000);
+      world.table.trouble = TableTrouble.None;
+    },
+    restMs: 20_000,
+  },
+  {
+    name: "the history is dropped and reads are old after jobs are over",
+    act: async (world) => {
+      world.table.remember();
+      await world.pass(6000);
+      world.table.trouble = TableTrouble.Stale;
+      await world.pass(3000);
+      world.table.trouble = TableTrouble.None;
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "reads are old while the leader hands over",
+    act: async (world) => {
+      world.table.remember();
+      await world.pass(4000);
+      world.table.trouble = TableTrouble.Stale;
+      const stopping = world.leader?.stop();
+      await world.pass(2000);
+      world.table.trouble = TableTrouble.None;
+      await world.pass(2000);
+      await stopping;
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "a worker starts anew under its id",
+    act: async (world) => {
+      world.fleet.restart("w0");
+      await world.pass(100);
+    },
+    restMs: 12_000,
+  },
+  {
+    name: "a worker is cut off for longer than its lease",
+    act: async (world) => {
+      world.fleet.cut.add("w0");
+      await world.pass(12_000);
+      world.fleet.cut.delete("w0");
+    },
+    restMs: 12_000,
+    lapses: 8,
+  },
+  {
+    name: "orders to a worker are carried out seconds later",
+    act: async (world) => {
+      world.fleet.late.add("w0");
+      await world.pass(3000);
+      world.fleet.late.delete("w0");
+    },
+    restMs: 25_000,
+    lapses: 8,
+  },
+  {
+    name: "a worker's answers are lost",
+    act: async (world) => {
+      world.fleet.mute.add("w0");
+      await world.pass(3000);
+      world.fleet.mute.delete("w0");
+    },
+    restMs: 15_000,
+  },
+  {
+    name: "tasks fail as often as they may, and leaders change in between",
+    failures: 2,
+    act: async (world) => {
+      await world.pass(3050);
+      const stopping = world.leader?.stop();
+      await world.pass(3000);
+      await stopping;
+    },
+    restMs: 20_000,
+  },
+  {
+    name: "the leader is frozen just when runs end",
+    act: async (world) => {
+      await world.pass(2900);
+      world.leader?.clock.freeze(4000);
+      await world.pass(8000);
+    },
+    restMs: 15_000,
+  },
+];
+
+for (const { name, act, restMs, lapses = 0, failures = 0 } of CASES) {
+  test(`leader: ${name}`, async () => {
+    const world = new EntryWorld({ entries: 3, workers: 4 });
+    await world.pass(2000);
+    assert.ok(world.leader, "somebody leads");
+    for (let job = 0; job < JOBS; job += 1) {
+      const spec = `work=${WORK_MS}&fail=${failures}`;
+      const id = `${job}`.padStart(16, "0");
+      await world.submit(id, spec, [{}, { count: 2, after: [0] }]);
+    }
+    await act(world);
+    await world.pass(restMs);
+    assert.deepEqual(world.findFaults(), []);
+    const phases = await world.readPhases();
+    const expected = new Array(JOBS).fill(JobPhase.Completed);
+    assert.deepEqual(phases, expected);
+    assert.ok(
+      world.countEnds(RunEnd.Lapsed) <= lapses,
+      `${world.countEnds(RunEnd.Lapsed)} leases were lost`,
+    );
+  });
+}
+
+test("leader: a cancelled job stops and stays cancelled over a takeover", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 4 });
+  await world.pass(2000);
+  await world.submit("00000000000000aa", "work=60000", [{}]);
+  await world.pass(500);
+  const done = await world.cancel("00000000000000aa");
+  assert.ok(done.ok);
+  const stopping = world.leader?.stop();
+  await world.pass(3000);
+  await stopping;
+  assert.deepEqual(await world.readPhases(), [JobPhase.Cancelled]);
+  const open = world.fleet.history.filter(({ endMs }) => endMs === undefined);
+  assert.equal(open.length, 0);
+});
+
+test("leader: a job whose tasks fail too often is shown as failed", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 4 });
+  await world.pass(2000);
+  await world.submit("00000000000000ab", "work=200&fail=3", [{ count: 1 }]);
+  await world.pass(5000);
+  assert.deepEqual(await world.readPhases(), [JobPhase.Failed]);
+  assert.equal(world.fleet.history.length, 3);
+});
--- /dev/null
+++ b/packages/jobs/src/test_samples.ts
@@ -0,0 +1,44 @@
+import type { Step } from "./job";
+import type { RegisteredWorker } from "./task_worker";
+
+/** A step for tests: one plain task, changed as given. */
+export function createStep(change: Partial<Step> = {}): Step {
+  return {
+    count: 1,
+    resources: { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 },
+    estimateMs: 1000,
+    after: [],
+    isCheckpointing: false,
+    isGang: false,
+    isColocated: false,
+    requiredLabel: "",
+    dataRack: "",
+    perWorkerLimit: 0,
+    isSpeculative: false,
+    isLongRunning: false,
+    image: "",
+    targetMs: 0,
+    isFiller: false,
+    disruptionLimit: 0,
+    ...change,
+  };
+}
+
+/** A worker for tests: 16 cores in pool `pool`, changed as given. */
+export function createWorkerInfo(
+  id: string,
+  change: Partial<RegisteredWorker> = {},
+): RegisteredWorker {
+  return {
+    id,
+    pool: "pool",
+    address: "10.0.0.1:1",
+    failureDomain: "d",
+    isDraining: false,
+    capacity: { cpuMilli: 16_000, memoryMb: 64_000, accelerators: 0 },
+    labels: [],
+    rack: "",
+    bornMs: 0,
+    ...change,
+  };
+}
--- /dev/null
+++ b/scripts/mutations.mjs
@@ -0,0 +1,132 @@
+// Takes one mechanism out at a time and shows which tests notice. The sources
+// stay as they are: the change is made while the tests are bundled.
+import { spawnSync } from "node:child_process";
+import { readFileSync, rmSync } from "node:fs";
+import { resolve } from "node:path";
+import { build } from "esbuild";
+import { BUNDLE } from "./bundle.mjs";
+
+const OUT = "dist/mutations";
+const LEADER_CASES = "packages/faults/src/leader_cases_test.ts";
+
+/** What is taken out: in `file`, `from` becomes `to`. */
+const MUTATIONS = [
+  {
+    name: "ends of unknown jobs wait for their job",
+    file: "packages/jobs/src/job_board.ts",
+    from: "else if (!isComplete) worker.orphans.push(ended);",
+    to: "",
+    test: "packages/jobs/src/job_board_test.ts",
+  },
+  {
+    name: "a failure is counted once, by the run's number",
+    file: "packages/jobs/src/job_board.ts",
+    from: "task.failedRuns.add(run);",
+    to: "task.failedRuns.add(run + task.failedRuns.size * 1000);",
+    test: "packages/jobs/src/job_board_test.ts",
+  },
+  {
+    name: "old snapshots are refused",
+    file: "packages/process/src/row_follower.ts",
+    from: "if (read.val.revision < this.#floor) return false;",
+    to: "",
+    test: "packages/process/src/row_follower_test.ts",
+  },
+  {
+    name: "jobs that ended are remembered",
+    file: "packages/leader/src/term.ts",
+    from: "if (this.#finished.has(id)) return;",
+    to: "",
+    also: {
+      file: "packages/process/src/row_follower.ts",
+      from: "if (read.val.revision < this.#floor) return false;",
+      to: "",
+    },
+    test: LEADER_CASES,
+  },
+  {
+    name: "nothing starts before all workers have answered",
+    file: "packages/leader/src/term.ts",
+    from: "if (silent.length > 0 && nowMs < this.#settledMs) return false;",
+    to: "",
+    test: LEADER_CASES,
+  },
+  {
+    name: "a silent worker's tasks wait for its lease to lapse",
+    file: "packages/leader/src/worker_link.ts",
+    from: "clock.nowMs() < worker.lapseMs",
+    to: "false",
+    test: LEADER_CASES,
+  },
+  {
+    name: "a commit demands that nobody else leads",
+    file: "packages/leader/src/progress_log.ts",
+    from: "checks: [{ key: LEADER_KEY, revision: this.#held.revision }],",
+    to: "checks: [],",
+    test: LEADER_CASES,
+  },
+  {
+    name: "ends are acknowledged only once they are stored",
+    file: "packages/leader/src/worker_link.ts",
+    from: "acknowledged: worker.storedEnd,",
+    to: "acknowledged: worker.lastEnd,",
+    test: LEADER_CASES,
+  },
+  {
+    name: "a configuration is only replaced by a higher version",
+    file: "packages/desk/src/queue_watch.ts",
+    from: "if (version <= this.#current.version) return;",
+    to: "",
+    test: "packages/desk/src/queue_watch_test.ts",
+  },
+  {
+    name: "a submission demands that its id is free",
+    file: "packages/desk/src/job_desk.ts",
+    from: "checks: [{ key: jobKey(job.id), revision: 0 }],",
+    to: "checks: [],",
+    test: "packages/desk/src/job_desk_test.ts",
+  },
+];
+
+/** Replaces text in sources as they are read. */
+function mutate(changes) {
+  return {
+    name: "mutate",
+    setup(builder) {
+      builder.onLoad({ filter: /\.ts$/ }, ({ path }) => {
+        const change = changes.find(({ file }) => resolve(file) === path);
+        if (change === undefined) return undefined;
+        const text = readFileSync(path, "utf8");
+        if (!text.includes(change.from)) {
+          throw new Error(`${change.file}: not found: ${change.from}`);
+        }
+        return { contents: text.replace(change.from, change.to), loader: "ts" };
+      });
+    },
+  };
+}
+
+let missed = 0;
+for (const mutation of MUTATIONS) {
+  rmSync(OUT, { recursive: true, force: true });
+  const changes = [mutation, mutation.also].filter((one) => one !== undefined);
+  await build({
+    ...BUNDLE,
+    entryPoints: [mutation.test],
+    outdir: OUT,
+    plugins: [mutate(changes)],
+  });
+  const bundle = `${OUT}/${mutation.test.split("/").pop().replace(".ts", ".cjs")}`;
+  const run = spawnSync(
+    process.execPath,
+    ["--test", "--test-reporter=tap", "--test-timeout=120000", bundle],
+    { encoding: "utf8" },
+  );
+  const failed = [...run.stdout.matchAll(/^ *not ok \d+ - (.*)$/gm)]
+    .map(([, title]) => title)
+    .filter((title) => !title.endsWith(".cjs"));
+  if (failed.length === 0) missed += 1;
+  const verdict = failed.length === 0 ? "NOT NOTICED" : failed.join("; ");
+  console.log(`${mutation.name}: ${verdict}`);
+}
+process.exit(missed === 0 ? 0 : 1);
