--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -53,7 +53,9 @@
 export function listReadySteps(record: JobRecord, wallMs: number): StepRun[] {
   const ready: StepRun[] = [];
   for (const [occurrence, steps] of record.occurrences.entries()) {
-    if (dueMsOf(record.job, occurrence) > wallMs) continue;
+    // The clock of the VM that took the job may be ahead of this one.
+    const isTimed = record.job.repeat !== undefined;
+    if (isTimed && dueMsOf(record.job, occurrence) > wallMs) continue;
     for (const stepRun of steps) {
       if (!isStepDone(stepRun) && isStepOpen(stepRun)) ready.push(stepRun);
     }
--- /dev/null
+++ b/packages/jobs/src/start_planner_test.ts
@@ -0,0 +1,290 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Job, Repeat, Step } from "./job";
+import { JobBoard } from "./job_board";
+import { PressureModel } from "./pressure_model";
+import type { Queue } from "./queue_config";
+import { planStarts } from "./start_planner";
+import type { Attempt } from "./task";
+import type { RegisteredWorker } from "./task_worker";
+import { createStep, createWorkerInfo } from "./test_samples";
+
+interface JobSample {
+  readonly id: string;
+  readonly steps: readonly Partial<Step>[];
+  readonly priority?: number;
+  readonly submittedMs?: number;
+  readonly repeat?: Repeat;
+  /** Tasks of the first step that are done. */
+  readonly done?: number;
+}
+
+interface Case {
+  readonly name: string;
+  readonly workers: readonly (readonly [
+    id: string,
+    change?: Partial<RegisteredWorker>,
+  ])[];
+  readonly jobs: readonly JobSample[];
+  /** Starts as `job.occurrence.step.task worker`. */
+  readonly starts: readonly string[];
+  readonly wallMs?: number;
+  readonly limit?: number;
+}
+
+const ALL_CORES = { cpuMilli: 16_000, memoryMb: 1000, accelerators: 0 };
+const HALF = { cpuMilli: 8000, memoryMb: 1000, accelerators: 0 };
+
+const CASES: readonly Case[] = [
+  {
+    name: "a task starts",
+    workers: [["w"]],
+    jobs: [{ id: "a", steps: [{}] }],
+    starts: ["a.0.0.0 w"],
+  },
+  {
+    name: "a step waits for the one before it",
+    workers: [["w"]],
+    jobs: [{ id: "a", steps: [{}, { after: [0] }] }],
+    starts: ["a.0.0.0 w"],
+  },
+  {
+    name: "a step starts when the one before it is done",
+    workers: [["w"]],
+    jobs: [{ id: "a", steps: [{}, { after: [0] }], done: 1 }],
+    starts: ["a.0.1.0 w"],
+  },
+  {
+    name: "processors are not committed twice",
+    workers: [["w"]],
+    jobs: [{ id: "a", steps: [{ count: 3, resources: HALF }] }],
+    starts: ["a.0.0.0 w", "a.0.0.1 w"],
+  },
+  {
+    name: "the urgent queue comes first",
+    workers: [["w"]],
+    jobs: [
+      { id: "a", steps: [{ resources: ALL_CORES }], priority: 2 },
+      { id: "b", steps: [{ resources: ALL_CORES }], priority: 0 },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
+  {
+    name: "among equals the one that is due first",
+    workers: [["w"]],
+    jobs: [
+      { id: "a", steps: [{ resources: ALL_CORES, estimateMs: 4000 }] },
+      { id: "b", steps: [{ resources: ALL_CORES, estimateMs: 1000 }] },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
+  {
+    name: "what is long past its objective yields",
+    workers: [["w"]],
+    wallMs: 100_000,
+    jobs: [
+      { id: "a", steps: [{ resources: ALL_CORES }], submittedMs: 0 },
+      { id: "b", steps: [{ resources: ALL_CORES }], submittedMs: 99_000 },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
+  {
+    name: "a task that fits nowhere does not hold up others",
+    workers: [["w"]],
+    jobs: [
+      {
+        id: "a",
+        steps: [
+          { resources: { cpuMilli: 99_000, memoryMb: 1, accelerators: 0 } },
+        ],
+      },
+      { id: "b", steps: [{}] },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
+  {
+    name: "a label that a worker must have",
+    workers: [["w"], ["x", { labels: ["a"] }]],
+    jobs: [{ id: "a", steps: [{ requiredLabel: "a", count: 2 }] }],
+    starts: ["a.0.0.0 x", "a.0.0.1 x"],
+  },
+  {
+    name: "tasks go to the rack of their data",
+    workers: [
+      ["w", { rack: "r1" }],
+      ["x", { rack: "r2" }],
+    ],
+    jobs: [{ id: "a", steps: [{ dataRack: "r2", count: 2 }] }],
+    starts: ["a.0.0.0 x", "a.0.0.1 x"],
+  },
+  {
+    name: "tasks of a step that belong together share a rack",
+    workers: [
+      ["w", { rack: "r1" }],
+      ["x", { rack: "r2" }],
+    ],
+    jobs: [{ id: "a", steps: [{ isColocated: true, count: 3 }] }],
+    starts: ["a.0.0.0 w", "a.0.0.1 w", "a.0.0.2 w"],
+  },
+  {
+    name: "a limit of tasks for each worker",
+    workers: [["w"], ["x"]],
+    jobs: [{ id: "a", steps: [{ perWorkerLimit: 1, count: 3 }] }],
+    starts: ["a.0.0.0 w", "a.0.0.1 x"],
+  },
+  {
+    name: "a gang starts whole",
+    workers: [["w"], ["x"]],
+    jobs: [
+      { id: "a", steps: [{ isGang: true, count: 2, resources: ALL_CORES }] },
+    ],
+    starts: ["a.0.0.0 w", "a.0.0.1 x"],
+  },
+  {
+    name: "a gang that does not fit does not start",
+    workers: [["w"], ["x"]],
+    jobs: [
+      { id: "a", steps: [{ isGang: true, count: 3, resources: ALL_CORES }] },
+      { id: "b", steps: [{ resources: ALL_CORES }], submittedMs: 1 },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
+  {
+    name: "an occurrence waits until it is due",
+    workers: [["w"]],
+    wallMs: 1500,
+    jobs: [
+      {
+        id: "a",
+        steps: [{}],
+        repeat: { count: 3, startMs: 1000, intervalMs: 1000 },
+      },
+    ],
+    starts: ["a.0.0.0 w"],
+  },
+  {
+    name: "only so many starts in a round",
+    workers: [["w"]],
+    limit: 2,
+    jobs: [{ id: "a", steps: [{ count: 5 }] }],
+    starts: ["a.0.0.0 w", "a.0.0.1 w"],
+  },
+  {
+    name: "serving tasks of one image stand together",
+    workers: [["w"], ["x"]],
+    jobs: [
+      {
+        id: "a",
+        steps: [
+          { image: "i", targetMs: 100, isLongRunning: true },
+          { image: "j", targetMs: 100, isLongRunning: true },
+          { image: "i", targetMs: 100, isLongRunning: true },
+        ],
+      },
+    ],
+    starts: ["a.0.0.0 w", "a.0.1.0 x", "a.0.2.0 w"],
+  },
+  {
+    name: "a filler goes where nothing serves",
+    workers: [["w"], ["x"]],
+    jobs: [
+      {
+        id: "a",
+        steps: [
+          { image: "i", targetMs: 100, isLongRunning: true },
+          { image: "f", isFiller: true, count: 2 },
+        ],
+      },
+    ],
+    starts: ["a.0.0.0 w", "a.0.1.0 x", "a.0.1.1 x"],
+  },
+];
+
+for (const given of CASES) {
+  test(`start planner: ${given.name}`, () => {
+    const board = createBoard(given);
+    const attempts = planStarts(board, {
+      nowMs: 0,
+      wallMs: given.wallMs ?? 0,
+      limit: given.limit ?? 100,
+      model: new PressureModel(),
+      isUsable: () => true,
+      isSettled: () => true,
+    });
+    assert.deepEqual(attempts.map(describe), given.starts);
+  });
+}
+
+test("start planner: members of a gang share a run and a checkpoint", () => {
+  const board = createBoard({
+    name: "",
+    workers: [["w"]],
+    jobs: [{ id: "a", steps: [{ isGang: true, count: 2 }] }],
+    starts: [],
+  });
+  const task = board.jobs.get("a")?.occurrences[0]?.[0]?.tasks[1];
+  assert.ok(task);
+  task.lastRun = 4;
+  task.checkpoint = "c";
+  const attempts = planStarts(board, {
+    nowMs: 0,
+    wallMs: 0,
+    limit: 100,
+    model: new PressureModel(),
+    isUsable: () => true,
+    isSettled: () => true,
+  });
+  const shown = attempts.map(({ run, task: { checkpoint } }) => [
+    run,
+    checkpoint,
+  ]);
+  assert.deepEqual(shown, [
+    [5, "c"],
+    [5, "c"],
+  ]);
+});
+
+function createBoard({ workers, jobs }: Case): JobBoard {
+  const board = new JobBoard(
+    { onChanged: () => {}, onStop: () => {}, onEnd: () => {} },
+    { runFloor: 0, completeMs: 0 },
+  );
+  for (const [id, change] of workers) {
+    board.addWorker(createWorkerInfo(id, change));
+  }
+  for (const sample of jobs) addJob(board, sample);
+  return board;
+}
+
+function addJob(board: JobBoard, sample: JobSample): void {
+  const { id, steps, priority = 0, submittedMs = 0, repeat, done = 0 } = sample;
+  const queue: Queue = {
+    name: "q",
+    host: "h",
+    pathPrefix: "/q/",
+    pool: "pool",
+    priority,
+    attemptLimit: 2,
+    stretch: 2,
+    targetMs: 1000,
+    advice: undefined,
+  };
+  const job: Job = {
+    id,
+    queue: "q",
+    spec: "",
+    steps: steps.map(createStep),
+    repeat,
+    submittedMs,
+  };
+  const record = board.addJob(job, 1, { queue });
+  const first = record.occurrences[0]?.[0];
+  assert.ok(first);
+  for (const task of first.tasks.slice(0, done)) task.isDone = true;
+  first.doneCount = done;
+}
+
+function describe({ task, worker }: Attempt): string {
+  const { record, occurrence, number } = task.stepRun;
+  return `${record.job.id}.${occurrence}.${number}.${task.index} ${worker.id}`;
+}
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -8,6 +8,7 @@
 import { Signal } from "@laburnumtrack/core/signal";
 import type { Job } from "@laburnumtrack/jobs/job";
 import { JobBoard, type StopRequest } from "@laburnumtrack/jobs/job_board";
+import { objectiveMs } from "@laburnumtrack/jobs/job_order";
 import { hasAttempts } from "@laburnumtrack/jobs/job_record";
 import {
   idOfKey,
@@ -148,6 +149,14 @@
       pending: () => countPending(this.board),
       learnt: () => this.#model.export(),
       onFinalStored: (record) => {
+        journal.info("A job is over.", {
+          job: record.job.id,
+          queue: record.job.queue,
+          phase: record.phase,
+          tookMs: Math.round(record.sinceMs - record.job.submittedMs),
+          objectiveMs: Math.round(objectiveMs(record)),
+        });
+        metrics.count(`jobs_over{phase="${record.phase}"}`);
         this.#stored.add(record.job.id);
         this.#finished.add(record.job.id);
         this.#closer.add(record.job.id, record.revision);
