--- a/packages/desk/src/job_desk.ts
+++ b/packages/desk/src/job_desk.ts
@@ -18,6 +18,8 @@
 export interface JobDeskOptions {
   readonly clock: Clock;
   readonly table: Table;
+  /** Whether the table answers this process, as far as is known. */
+  readonly isInTouch: () => boolean;
 }
 
 /** What became of a submission. */
@@ -32,6 +34,8 @@
 const LONGEST_PAUSE_MS = 300;
 /** A table that turns calls away is given this long, in ms. */
 const TURNED_AWAY_MS = 1200;
+/** The same when it has turned away others before: callers go elsewhere. */
+const OUT_OF_TOUCH_MS = 300;
 
 /**
  * Takes jobs from callers, says how they stand, cancels them. Any entry VM
@@ -125,14 +129,15 @@
     deadlineMs: number,
     attempt: () => Promise<Result<T, Fault>>,
   ): Promise<Result<T, Fault>> {
-    const { clock } = this.#options;
+    const { clock, isInTouch } = this.#options;
     const startMs = clock.nowMs();
+    const patienceMs = isInTouch() ? TURNED_AWAY_MS : OUT_OF_TOUCH_MS;
     let pauseMs = FIRST_PAUSE_MS;
     for (;;) {
       const outcome = await attempt();
       if (outcome.ok || !isRetryable(outcome.val)) return outcome;
       const limitMs = isTurnedAway(outcome.val)
-        ? Math.min(deadlineMs, startMs + TURNED_AWAY_MS)
+        ? Math.min(deadlineMs, startMs + patienceMs)
         : deadlineMs;
       if (clock.nowMs() + pauseMs >= limitMs) return outcome;
       await clock.sleep(pauseMs);
--- a/packages/desk/src/job_desk_test.ts
+++ b/packages/desk/src/job_desk_test.ts
@@ -113,7 +113,11 @@
   test(`job desk: ${name}`, async () => {
     const clock = new VirtualClock();
     const table = new FeedTableStandin(clock);
-    const stage = { clock, table, desk: new JobDesk({ clock, table }) };
+    const stage = {
+      clock,
+      table,
+      desk: new JobDesk({ clock, table, isInTouch: () => true }),
+    };
     let last: unknown;
     for (const call of calls) {
       const done = call(stage);
--- a/packages/desk/src/queue_watch.ts
+++ b/packages/desk/src/queue_watch.ts
@@ -42,6 +42,11 @@
     return this.#current;
   }
 
+  /** Whether the table answers this process. */
+  get isInTouch(): boolean {
+    return this.#follower.isLoaded && !this.#follower.isLost;
+  }
+
   /** Follows until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     await this.#follower.run(signal);
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -67,7 +67,11 @@
   constructor({ entries, workers }: EntryWorldOptions) {
     const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
     this.fleet = new TaskFleetStandin(this.clock, ids);
-    this.#desk = new JobDesk({ clock: this.clock, table: this.table });
+    this.#desk = new JobDesk({
+      clock: this.clock,
+      table: this.table,
+      isInTouch: () => true,
+    });
     void this.table.commit({
       checks: [],
       writes: ids.map((id) => ({ key: `workers/${id}`, value: id })),
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -49,6 +49,11 @@
     return this.#contactMs;
   }
 
+  /** Whether the last call was not answered, or turned away. */
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
   /** Whether a snapshot was taken. */
   get isLoaded(): boolean {
     return this.#revision !== undefined;
