fix(leader): workers that may hold a lease are kept in a roster

Change: a worker gets a lease only once the stored roster has it; the next leader reads the roster and waits for those it names; it is written over only after that.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -104,6 +104,14 @@
     void done;
   }
 
+  /** Takes a worker's entry out of the registry. */
+  async unregister(id: string): Promise<void> {
+    const writes = [{ key: `workers/${id}`, value: null }];
+    const done = this.table.commit({ checks: [], writes });
+    await this.pass(50);
+    await done;
+  }
+
   /** Cancels a job. */
   async cancel(id: string): Promise<Result<void, Fault>> {
     const done = this.#desk.cancel(id, this.clock.nowMs() + SUBMIT_MS);
--- a/packages/faults/src/leader_cases_test.ts
+++ b/packages/faults/src/leader_cases_test.ts
@@ -77,6 +77,19 @@
     restMs: 12_000,
     lapses: 8,
   },
+  {
+    name: "a worker that is cut off loses its entry during a handover",
+    act: async (world) => {
+      world.fleet.cut.add("w0");
+      const stopping = world.leader?.stop();
+      await world.pass(1000);
+      await world.unregister("w0");
+      await world.pass(9000);
+      await stopping;
+    },
+    restMs: 12_000,
+    lapses: 8,
+  },
   {
     name: "the table is down for 5 s",
     act: async (world) => {
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -25,6 +25,9 @@
 /** Key of what leaders have learnt; it may be missing or old. */
 export const LEARNT_KEY = `${RowPrefix.Leader}learnt`;
 
+/** Key of the workers that may hold a lease of a leader. */
+export const ROSTER_KEY = `${RowPrefix.Leader}roster`;
+
 /** Key of a job's own row. */
 export function jobKey(id: string): string {
   return `${RowPrefix.Jobs}${id}`;
@@ -79,6 +82,16 @@
   return parse<Leadership>(row.value, "epoch");
 }
 
+/** Addresses of the workers that may hold a lease, by id. */
+export type Roster = Readonly<Record<string, string>>;
+
+/** Reads the roster; `Malformed` when it is none. */
+export function readRoster(row: Pick<Row, "value">): Result<Roster, Fault> {
+  return parse<{ roster: Roster }>(row.value, "roster").map(
+    ({ roster }) => roster,
+  );
+}
+
 /** Reads what leaders have learnt; `Malformed` when it is nothing of that. */
 export function readLearnt(
   row: Pick<Row, "value">,
--- a/packages/jobs/src/pressure_model.ts
+++ b/packages/jobs/src/pressure_model.ts
@@ -68,7 +68,7 @@
 
   /** Takes in the figures that a worker has just reported. */
   observe(worker: WorkerRecord, nowMs: number): void {
-    if (worker.serving.size === 0) return;
+    if (worker.serving.size === 0 || !worker.isRegistered) return;
     const fillers = listFillers(worker);
     for (const attempt of worker.serving) {
       if (attempt.figure <= 0 || attempt.percent < 100) continue;
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -7,6 +7,8 @@
   info: RegisteredWorker;
   /** Whether the registry lists it now. */
   isRegistered = true;
+  /** Whether the stored roster has it: only then may it be given a lease. */
+  isRostered = false;
   /** Life that its reports are of; 0: none was received. */
   bornMs = 0;
   /** Whether it has answered this leader. */
--- a/packages/leader/src/progress_log.ts
+++ b/packages/leader/src/progress_log.ts
@@ -6,6 +6,7 @@
 import {
   LEADER_KEY,
   LEARNT_KEY,
+  ROSTER_KEY,
   readLeadership,
   stateKey,
 } from "@laburnumtrack/jobs/job_rows";
@@ -61,6 +62,10 @@
   readonly #dirty = new Map<string, JobRecord>();
   #held: HeldLeadership;
   #confirmedMs: number;
+  /** Whether what former leaders left was read: until then it stays. */
+  #isLoaded = false;
+  /** The roster as it is stored. */
+  #roster = "";
   #learntMs = Number.NEGATIVE_INFINITY;
   #isLost = false;
   #isFailing = false;
@@ -99,6 +104,12 @@
     this.#wake.set();
   }
 
+  /** What former leaders left was read; it may be written over. */
+  onLoaded(): void {
+    this.#isLoaded = true;
+    this.#wake.set();
+  }
+
   /** Ends were taken in; workers may forget them after the next commit. */
   wake(): void {
     this.#wake.set();
@@ -131,6 +142,9 @@
       pending: this.#options.pending(),
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
+    const workers = this.#isLoaded ? [...this.#options.workers()] : [];
+    const roster = encodeRoster(workers);
+    const isRosterNew = this.#isLoaded && roster !== this.#roster;
     const sentMs = clock.nowMs();
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
@@ -138,6 +152,7 @@
         toWrite(row),
         ...batch.map(toStateWrite),
         ...this.#writeLearnt(sentMs, isReleased),
+        ...(isRosterNew ? [{ key: ROSTER_KEY, value: roster }] : []),
       ],
     });
     metrics.recordMs("progress_commit", clock.nowMs() - sentMs);
@@ -150,6 +165,8 @@
     }
     this.#held = { row, revision };
     this.#confirmedMs = sentMs;
+    if (isRosterNew) this.#roster = roster;
+    for (const worker of workers) worker.isRostered = true;
     for (const { worker, end, bornMs } of ends) {
       if (worker.bornMs === bornMs) worker.storedEnd = end;
     }
@@ -160,6 +177,7 @@
 
   /** What was learnt goes with a commit now and then. */
   #writeLearnt(nowMs: number, isReleased: boolean): Write[] {
+    if (!this.#isLoaded) return [];
     if (nowMs - this.#learntMs < LEARNT_MS && !isReleased) return [];
     this.#learntMs = nowMs;
     const value = JSON.stringify({ pressures: this.#options.learnt() });
@@ -217,6 +235,13 @@
   }
 }
 
+function encodeRoster(workers: readonly WorkerRecord[]): string {
+  const entries = workers
+    .map(({ id, info }) => [id, info.address] as const)
+    .sort(([a], [b]) => (a < b ? -1 : 1));
+  return JSON.stringify({ roster: Object.fromEntries(entries) });
+}
+
 /** Write of the leader's row. */
 export function toWrite(row: Leadership): Write {
   return { key: LEADER_KEY, value: JSON.stringify(row) };
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -5,6 +5,7 @@
   FeedTable,
   Snapshot,
 } from "@laburnumtrack/core/feed_table";
+import { NO_RESOURCES } from "@laburnumtrack/core/resources";
 import { Signal } from "@laburnumtrack/core/signal";
 import type { Job } from "@laburnumtrack/jobs/job";
 import { JobBoard, type StopRequest } from "@laburnumtrack/jobs/job_board";
@@ -13,9 +14,11 @@
 import {
   idOfKey,
   LEARNT_KEY,
+  ROSTER_KEY,
   RowPrefix,
   readJobRow,
   readLearnt,
+  readRoster,
   readState,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, type JobState } from "@laburnumtrack/jobs/job_state";
@@ -26,7 +29,11 @@
 import { listStalled, setStalledAside } from "@laburnumtrack/jobs/stalled_runs";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, Task } from "@laburnumtrack/jobs/task";
-import type { EndedRun, TaskWorker } from "@laburnumtrack/jobs/task_worker";
+import type {
+  EndedRun,
+  RegisteredWorker,
+  TaskWorker,
+} from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -198,6 +205,7 @@
     // Jobs come first: reports are about jobs that must be known.
     const isLoaded = await this.#load([jobs, workers]);
     if (isLoaded) {
+      this.#log.onLoaded();
       journal.info("The jobs are read.", {
         epoch,
         jobs: this.board.jobs.size,
@@ -248,22 +256,55 @@
   }
 
   async #load(followers: readonly RowFollower[]): Promise<boolean> {
-    const { table, clock } = this.#options;
+    const { clock } = this.#options;
     await this.#readLearnt();
-    while (!this.#over.signal.aborted && !this.#isLost) {
-      const states = await table.snapshot(RowPrefix.States);
-      // An older read may lack what the former leader stored last.
-      if (states.ok && states.val.revision >= this.#start.held.revision) {
-        this.#onStates(states.val);
-        let isLoaded = true;
-        for (const follower of followers) {
-          isLoaded = isLoaded && (follower.isLoaded || (await follower.load()));
-        }
-        if (isLoaded) return true;
+    // Reports are about jobs, and states about jobs that were handed in.
+    const parts = [
+      () => this.#loadStates(),
+      ...followers.map((follower) => () => follower.load()),
+      () => this.#readRoster(),
+    ];
+    for (const load of parts) {
+      while (!(await load())) {
+        if (this.#over.signal.aborted || this.#isLost) return false;
+        await clock.sleep(LOAD_RETRY_MS, this.#over.signal);
       }
-      await clock.sleep(LOAD_RETRY_MS, this.#over.signal);
     }
-    return false;
+    return !this.#over.signal.aborted && !this.#isLost;
+  }
+
+  async #loadStates(): Promise<boolean> {
+    const states = await this.#options.table.snapshot(RowPrefix.States);
+    // An older read may lack what the former leader stored last.
+    const { revision } = this.#start.held;
+    if (states.err || states.val.revision < revision) return false;
+    this.#onStates(states.val);
+    return true;
+  }
+
+  /** Takes in workers that may hold a lease though no entry names them. */
+  async #readRoster(): Promise<boolean> {
+    const read = await this.#options.table.get([ROSTER_KEY]);
+    if (read.err) return false;
+    const [row] = read.val;
+    if (row === undefined) return true;
+    const roster = readRoster(row);
+    if (roster.err) {
+      this.#onMalformed(ROSTER_KEY, roster.val.message);
+      return true;
+    }
+    for (const [id, address] of Object.entries(roster.val)) {
+      const known = this.board.workers.get(id);
+      if (known !== undefined) {
+        known.isRostered = true;
+        continue;
+      }
+      const worker = this.board.addWorker(unlistedWorker(id, address));
+      worker.isRegistered = false;
+      worker.isRostered = true;
+      this.#openLink(worker);
+    }
+    return true;
   }
 
   /** Takes over what former leaders learnt; without it, it is learnt anew. */
@@ -385,6 +426,8 @@
     }
     for (const worker of this.board.workers.values()) {
       if (worker.isRegistered || worker.attempts.size > 0) continue;
+      // It may still run what a former leader gave it.
+      if (!worker.hasReported && !this.#isSettled) continue;
       this.board.workers.delete(worker.id);
       this.#links.get(worker.id)?.gone.abort();
       this.#links.delete(worker.id);
@@ -696,6 +739,21 @@
   }
 }
 
+/** A worker of which only the address is known: it gets no new task. */
+function unlistedWorker(id: string, address: string): RegisteredWorker {
+  return {
+    id,
+    address,
+    pool: "",
+    failureDomain: "",
+    isDraining: true,
+    capacity: NO_RESOURCES,
+    labels: [],
+    rack: "",
+    bornMs: 0,
+  };
+}
+
 function idIn(prefix: string, key: string): string {
   return key.slice(prefix.length);
 }
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -82,7 +82,10 @@
       }
       const isAnswered = await this.#renew(signal);
       if (signal.aborted) return;
-      if (isAnswered) await this.#waitUntilStored(signal);
+      if (isAnswered && !this.worker.isRostered) {
+        this.#options.onNews();
+        await clock.sleep(BARRED_MS, signal);
+      } else if (isAnswered) await this.#waitUntilStored(signal);
       else await clock.sleep(RETRY_MS, signal);
     }
   }
@@ -297,10 +300,11 @@
 
   /**
    * End of a new lease on the worker's clock; undefined when the clock is not
-   * known, or the worker is silent: then its old lease must end first.
+   * known, the worker is silent and its old lease must end first, or the next
+   * leader would not know of it.
    */
   #grantLease(): number | undefined {
-    if (this.#isSilent) return undefined;
+    if (this.#isSilent || !this.worker.isRostered) return undefined;
     const { clock, leaseMs } = this.#options;
     const nowMs = clock.nowMs();
     const workerMs = this.#clock.estimate(nowMs);
--- a/packages/process/src/admin_server.ts
+++ b/packages/process/src/admin_server.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { H3, toNodeHandler } from "h3";
+import { sendJson } from "./http_body";
 import { type Listener, listenHttp } from "./http_listener";
 import { RequestOutcome, sendProblem } from "./http_problem";
 import type { Metrics } from "./metrics";
@@ -67,35 +68,6 @@
   return await listenHttp(options.address, toNodeHandler(app));
 }
 
-/** Answers with JSON. */
-export function sendJson(
-  response: ServerResponse,
-  status: number,
-  value: unknown,
-): void {
-  const body = `${JSON.stringify(value)}\n`;
-  response.writeHead(status, {
-    "content-type": "application/json",
-    "content-length": Buffer.byteLength(body),
-  });
-  response.end(body);
-}
-
-/** Reads a request's body as text; undefined when it is over the limit. */
-export async function readText(
-  request: IncomingMessage,
-  limitBytes: number,
-): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length;
-    if (length > limitBytes) return undefined;
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString("utf8");
-}
-
 function sendText(
   response: ServerResponse,
   status: number,
--- a/packages/scheduler/src/operator_routes.ts
+++ b/packages/scheduler/src/operator_routes.ts
@@ -1,11 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { FILE_SET_LIMIT_BYTES } from "@laburnumtrack/fileset/file_set";
-import {
-  type AdminRoute,
-  readText,
-  sendJson,
-} from "@laburnumtrack/process/admin_server";
+import type { AdminRoute } from "@laburnumtrack/process/admin_server";
+import { readText, sendJson } from "@laburnumtrack/process/http_body";
 import {
   RequestOutcome,
   sendProblem,
--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -2,7 +2,7 @@
 import { KeyPrefix } from "@laburnumtrack/core/rows";
 import type { Transaction } from "@laburnumtrack/core/table";
 import type { Vm } from "@laburnumtrack/core/vm_list";
-import { readText, sendJson } from "@laburnumtrack/process/admin_server";
+import { readText, sendJson } from "@laburnumtrack/process/http_body";
 import {
   type Listener,
   listenHttp,
--- a/packages/standins/src/service_run.ts
+++ b/packages/standins/src/service_run.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Action, type Assignment, RunState } from "@laburnumtrack/core/worker";
-import { readText } from "@laburnumtrack/process/admin_server";
+import { readText } from "@laburnumtrack/process/http_body";
 import {
   type Listener,
   listenHttp,
--- a/packages/standins/src/worker_standin.ts
+++ b/packages/standins/src/worker_standin.ts
@@ -8,7 +8,7 @@
   type SyncRequest,
 } from "@laburnumtrack/core/worker";
 import { WorkloadKind } from "@laburnumtrack/core/workload";
-import { readText, sendJson } from "@laburnumtrack/process/admin_server";
+import { readText, sendJson } from "@laburnumtrack/process/http_body";
 import {
   type Listener,
   listenHttp,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -25,6 +25,9 @@
   ...BUNDLE,
   entryPoints: entries.map(([out, source]) => ({ in: source, out })),
   outdir: values.out,
+  // Less text to read at each start; names stay, for stack traces.
+  minifyWhitespace: true,
+  minifySyntax: true,
   banner: { js: "#!/usr/bin/env node" },
 });
 for (const [name] of entries) chmodSync(`${values.out}/${name}.cjs`, 0o755);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -51,6 +51,20 @@
     to: "",
     test: LEADER_CASES,
   },
+  {
+    name: "a worker without entry is awaited before all is settled",
+    file: "packages/leader/src/term.ts",
+    from: "if (!worker.hasReported && !this.#isSettled) continue;",
+    to: "",
+    test: LEADER_CASES,
+  },
+  {
+    name: "workers without entry are found in the roster",
+    file: "packages/leader/src/term.ts",
+    from: "() => this.#readRoster(),",
+    to: "",
+    test: LEADER_CASES,
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
