--- a/packages/jobs/src/harm_limit.ts
+++ b/packages/jobs/src/harm_limit.ts
@@ -3,11 +3,11 @@
 import type { StepRun } from "./task";
 
 /** Serving tasks that a filler may push over while its job has time. */
-const PATIENT_HARM = 0.05;
+const PATIENT_HARM = 0.08;
 /** The same when its job would miss its objective by waiting. */
-const URGENT_HARM = 0.2;
+const URGENT_HARM = 0.3;
 /** The same once the objective is missed: little is left to gain. */
-const LATE_HARM = 0.1;
+const LATE_HARM = 0.08;
 /** Slack below which a job begins to be urgent, in ms. */
 const URGENT_SLACK_MS = 2000;
 
--- a/packages/jobs/src/pressure_model.ts
+++ b/packages/jobs/src/pressure_model.ts
@@ -12,12 +12,6 @@
 /** Bounds of the estimate of a task's own load. */
 const LEAST_LOAD = 0.1;
 const MOST_LOAD = 0.8;
-/** A task's load may rise by this while a filler is at work beside it. */
-const LOAD_RISE = 0.08;
-/** Load up to which a rise is to be expected. */
-const PEAK_LOAD = 0.75;
-/** After fillers gave way a queue drains for this long, in ms. */
-const DRAIN_MS = 1500;
 /** Above this a tail tells only that the task is overloaded. */
 const SATURATED = 0.93;
 /** Utilization that stands for any that is saturated. */
@@ -167,11 +161,7 @@
     const known = this.#states.get(worker);
     if (known?.change === worker.change) return known.states;
     const states = [...worker.serving].map((attempt) => {
-      const rise = Math.max(
-        0,
-        Math.min(LOAD_RISE, PEAK_LOAD - this.loadOf(attempt)),
-      );
-      const utilization = this.utilizationOf(attempt) + rise;
+      const utilization = this.utilizationOf(attempt);
       const risk = this.riskAt(attempt, utilization);
       return { attempt, utilization, risk };
     });
@@ -186,16 +176,13 @@
     const best = known.bestTailMs;
     const observed = 1 - best / attempt.figure;
     const isSaturated = observed > SATURATED;
-    const isDraining = nowMs - attempt.worker.relievedMs < DRAIN_MS;
-    if (!isSaturated || !isDraining) {
-      known.regression.add(
-        fillers.map((filler) => ({
-          name: filler.task.stepRun.step.image,
-          value: activeShareOf(filler),
-        })),
-        isSaturated ? OVERLOADED : observed,
-      );
-    }
+    known.regression.add(
+      fillers.map((filler) => ({
+        name: filler.task.stepRun.step.image,
+        value: activeShareOf(filler),
+      })),
+      isSaturated ? OVERLOADED : observed,
+    );
     if (nowMs - known.solvedMs > SOLVE_MS) {
       known.solvedMs = nowMs;
       known.regression.solve();
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -33,8 +33,6 @@
 
 /** All fillers yield to a task that misses its target for this long, in ms. */
 const PATIENCE_MS = 1200;
-/** Pressure above which a filler should stand elsewhere. */
-const HEAVY = 0.6;
 /** A filler that stands still for this long is moved, in ms. */
 const PAUSE_LIMIT_MS = 1200;
 /** A measured tail shows relief after this time, in ms. */
@@ -65,13 +63,8 @@
       overMs > PATIENCE_MS
         ? fillers.filter(({ pacePercent }) => pacePercent > 0)
         : chooseYielding(model, attempt, fillers);
-    const { image } = attempt.task.stepRun.step;
     for (const filler of yielding) {
-      const fillerImage = filler.task.stepRun.step.image;
-      const isMisplaced = model.pressureOf(fillerImage, image) > HEAVY;
-      const relief =
-        isMisplaced && canMove(filler) ? Relief.Move : Relief.Pause;
-      orders.set(filler, { filler, relief, ratio });
+      orders.set(filler, { filler, relief: Relief.Pause, ratio });
     }
   }
   if (orders.size > 0) worker.relievedMs = nowMs;
