--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -22,8 +22,6 @@
 
 /** Measured tail over its target from which fillers give way. */
 const PRESSED_RATIO = 1;
-/** Room below the limit at which fillers give way ahead of a miss. */
-const NEAR_ROOM = 0.02;
 /** Measured tail over its target below which a filler may go on. */
 const RELEASE_RATIO = 0.6;
 /** Serving tasks that a filler may push over when it goes on. */
@@ -55,9 +53,7 @@
   for (const attempt of serving) {
     const ratio = attempt.figure / attempt.task.stepRun.step.targetMs;
     worst = Math.max(worst, ratio);
-    const isNear =
-      model.utilizationOf(attempt) > model.limitOf(attempt) - NEAR_ROOM;
-    if (ratio < PRESSED_RATIO && !isNear) continue;
+    if (ratio < PRESSED_RATIO) continue;
     const overMs = nowMs - (attempt.overSinceMs ?? nowMs);
     const yielding =
       overMs > PATIENCE_MS
