--- a/packages/faults/src/leader_cases_test.ts
+++ b/packages/faults/src/leader_cases_test.ts
@@ -13,11 +13,12 @@
   readonly restMs: number;
   /** Runs that may lapse or be given up; 0: no lease may be lost. */
   readonly lapses?: number;
+  /** Work of a task in ms; else longer than a takeover. */
+  readonly workMs?: number;
   /** Tasks fail this often before they are done. */
   readonly failures?: number;
 }
 
-/** Work of a task in ms: longer than a takeover. */
 const WORK_MS = 3000;
 const JOBS = 6;
 
@@ -90,6 +91,37 @@
     restMs: 12_000,
     lapses: 8,
   },
+  {
+    name: "a worker comes back whose silence only the next leader reads of",
+    workMs: 14_000,
+    act: async (world) => {
+      world.fleet.cut.add("w0");
+      await world.pass(5000);
+      const { name } = world.leader ?? { name: "" };
+      world.table.refused.add(name);
+      world.fleet.cut.delete("w0");
+      await world.pass(900);
+      world.fleet.cut.add("w0");
+      await world.pass(12_000);
+      world.table.refused.delete(name);
+      world.fleet.cut.delete("w0");
+    },
+    restMs: 40_000,
+    lapses: 12,
+  },
+  {
+    name: "a silent worker's lease lapses under the next leader",
+    act: async (world) => {
+      world.fleet.cut.add("w0");
+      await world.pass(1500);
+      const stopping = world.leader?.stop();
+      await world.pass(9000);
+      await stopping;
+      world.fleet.cut.delete("w0");
+    },
+    restMs: 12_000,
+    lapses: 8,
+  },
   {
     name: "the table is down for 5 s",
     act: async (world) => {
@@ -210,13 +242,14 @@
   },
 ];
 
-for (const { name, act, restMs, lapses = 0, failures = 0 } of CASES) {
+for (const given of CASES) {
+  const { name, act, restMs, lapses = 0, failures = 0 } = given;
   test(`leader: ${name}`, async () => {
     const world = new EntryWorld({ entries: 3, workers: 4 });
     await world.pass(2000);
     assert.ok(world.leader, "somebody leads");
     for (let job = 0; job < JOBS; job += 1) {
-      const spec = `work=${WORK_MS}&fail=${failures}`;
+      const spec = `work=${given.workMs ?? WORK_MS}&fail=${failures}`;
       const id = `${job}`.padStart(16, "0");
       await world.submit(id, spec, [{}, { count: 2, after: [0] }]);
     }
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -293,7 +293,7 @@
       unit: "ms",
       min: 1000,
       max: 600_000,
-      fallback: "5000",
+      fallback: "3500",
       help: "How long a leader orders without a word from the table.",
     },
     {
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -10,6 +10,11 @@
   readonly sequence: number;
   /** The holder sends nothing to workers any more. */
   readonly isReleased: boolean;
+  /**
+   * Workers that do not answer: ms until their leases have lapsed. They get no
+   * lease before a commit that does not list them.
+   */
+  readonly silent: Readonly<Record<string, number>>;
   /** Jobs of which nothing has started, by queue. */
   readonly pending: Readonly<Record<string, number>>;
 }
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -9,6 +9,10 @@
   isRegistered = true;
   /** Whether the stored roster has it: only then may it be given a lease. */
   isRostered = false;
+  /** Its last renewal was not answered. */
+  isSilent = false;
+  /** The leader's row may list it as silent. */
+  isListedSilent = false;
   /** Life that its reports are of; 0: none was received. */
   bornMs = 0;
   /** Whether it has answered this leader. */
@@ -48,6 +52,11 @@
     this.info = info;
   }
 
+  /** Whether a lease may be granted that the next leader takes into account. */
+  get mayLease(): boolean {
+    return this.isRostered && !this.isSilent && !this.isListedSilent;
+  }
+
   /** Counts an attempt in. */
   add(attempt: Attempt): void {
     this.attempts.add(attempt);
--- a/packages/leader/src/leadership.ts
+++ b/packages/leader/src/leadership.ts
@@ -133,6 +133,7 @@
       epoch: (former?.epoch ?? 0) + 1,
       sequence: (former?.sequence ?? 0) + 1,
       isReleased: false,
+      silent: former?.silent ?? {},
       pending: former?.pending ?? {},
     };
     const sentMs = clock.nowMs();
--- a/packages/leader/src/progress_log.ts
+++ b/packages/leader/src/progress_log.ts
@@ -139,6 +139,7 @@
       ...this.#held.row,
       sequence: this.#held.row.sequence + 1,
       isReleased,
+      silent: this.#listSilent(),
       pending: this.#options.pending(),
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
@@ -166,7 +167,10 @@
     this.#held = { row, revision };
     this.#confirmedMs = sentMs;
     if (isRosterNew) this.#roster = roster;
-    for (const worker of workers) worker.isRostered = true;
+    for (const worker of workers) {
+      worker.isRostered = true;
+      worker.isListedSilent = worker.id in row.silent;
+    }
     for (const { worker, end, bornMs } of ends) {
       if (worker.bornMs === bornMs) worker.storedEnd = end;
     }
@@ -175,6 +179,18 @@
     return true;
   }
 
+  /** Lists silent workers; they get no lease until that is taken back. */
+  #listSilent(): Record<string, number> {
+    const nowMs = this.#options.clock.nowMs();
+    const silent: Record<string, number> = {};
+    for (const worker of this.#options.workers()) {
+      if (!worker.isSilent) continue;
+      worker.isListedSilent = true;
+      silent[worker.id] = Math.max(0, Math.ceil(worker.lapseMs - nowMs));
+    }
+    return silent;
+  }
+
   /** What was learnt goes with a commit now and then. */
   #writeLearnt(nowMs: number, isReleased: boolean): Write[] {
     if (!this.#isLoaded) return [];
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -394,9 +394,10 @@
     const nowMs = clock.nowMs();
     const silent: string[] = [];
     for (const worker of this.board.workers.values()) {
-      if (!worker.hasReported) silent.push(worker.id);
+      if (worker.hasReported) continue;
+      if (nowMs < worker.lapseMs) return false;
+      silent.push(worker.id);
     }
-    if (silent.length > 0 && nowMs < this.#settledMs) return false;
     this.#isSettled = true;
     journal.info("All runs are known.", {
       tookMs: Math.round(nowMs - this.#start.heldMs),
@@ -561,8 +562,10 @@
 
   #openLink(worker: WorkerRecord): void {
     const { clock, journal, metrics, port, leaseMs } = this.#options;
-    // What a former leader granted; its own grants move it on.
-    worker.lapseMs = this.#settledMs;
+    // What a former leader granted; own grants move it on.
+    const leftMs = this.#start.held.row.silent[worker.id];
+    worker.lapseMs =
+      leftMs === undefined ? this.#settledMs : this.#start.takenMs + leftMs;
     const link = new WorkerLink(worker, {
       clock,
       journal,
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -60,18 +60,12 @@
   readonly #options: LinkOptions;
   readonly #clock = new WorkerClock();
   readonly #stops = new Set<string>();
-  #isSilent = false;
 
   constructor(worker: WorkerRecord, options: LinkOptions) {
     this.worker = worker;
     this.#options = options;
   }
 
-  /** Whether its last renewal failed. */
-  get isSilent(): boolean {
-    return this.#isSilent;
-  }
-
   /** Renews until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, mayOrder } = this.#options;
@@ -82,7 +76,7 @@
       }
       const isAnswered = await this.#renew(signal);
       if (signal.aborted) return;
-      if (isAnswered && !this.worker.isRostered) {
+      if (isAnswered && !this.worker.mayLease) {
         this.#options.onNews();
         await clock.sleep(BARRED_MS, signal);
       } else if (isAnswered) await this.#waitUntilStored(signal);
@@ -215,8 +209,8 @@
     const { clock, board, journal, onNews, onReport } = this.#options;
     const { worker } = this;
     const nowMs = clock.nowMs();
-    if (this.#isSilent) {
-      this.#isSilent = false;
+    if (worker.isSilent) {
+      worker.isSilent = false;
       journal.info("A worker answers again.", { worker: worker.id });
     }
     this.#clock.onReading(report.clockMs, nowMs);
@@ -238,8 +232,8 @@
     const { clock, board, journal, onNews } = this.#options;
     const { worker } = this;
     this.#onOrderFault(fault);
-    if (!this.#isSilent) {
-      this.#isSilent = true;
+    if (!worker.isSilent) {
+      worker.isSilent = true;
       journal.warn("A worker does not answer.", {
         worker: worker.id,
         attempts: worker.attempts.size,
@@ -304,7 +298,7 @@
    * leader would not know of it.
    */
   #grantLease(): number | undefined {
-    if (this.#isSilent || !this.worker.isRostered) return undefined;
+    if (!this.worker.mayLease) return undefined;
     const { clock, leaseMs } = this.#options;
     const nowMs = clock.nowMs();
     const workerMs = this.#clock.estimate(nowMs);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -47,7 +47,7 @@
   {
     name: "nothing starts before all workers have answered",
     file: "packages/leader/src/term.ts",
-    from: "if (silent.length > 0 && nowMs < this.#settledMs) return false;",
+    from: "if (nowMs < worker.lapseMs) return false;",
     to: "",
     test: LEADER_CASES,
   },
@@ -65,6 +65,13 @@
     to: "",
     test: LEADER_CASES,
   },
+  {
+    name: "a worker that is listed as silent gets no lease",
+    file: "packages/jobs/src/worker_record.ts",
+    from: " && !this.isListedSilent",
+    to: "",
+    test: LEADER_CASES,
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
