--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -52,6 +52,7 @@
 };
 const LEASE_MS = 6000;
 const RIGHT_MS = 8000;
+const RESTORE_MS = 100;
 const CAPACITY = { cpuMilli: 16_000, memoryMb: 64_000, accelerators: 0 };
 const SUBMIT_MS = 3000;
 
@@ -168,6 +169,7 @@
       config: () => CONFIG,
       leaseMs: LEASE_MS,
       rightMs: RIGHT_MS,
+      restoreMs: RESTORE_MS,
       member: name,
       instance: name,
       spread: index,
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -296,6 +296,15 @@
       fallback: "3500",
       help: "How long a leader orders without a word from the table.",
     },
+    {
+      key: "restore_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 0,
+      max: 600_000,
+      fallback: "500",
+      help: "Time that a task takes to resume from its checkpoint.",
+    },
     {
       key: "shutdown_ms",
       kind: FieldKind.Integer,
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -20,6 +20,14 @@
   readonly ratio: number;
 }
 
+/** What relief depends on besides the worker. */
+export interface ReliefOptions {
+  /** Monotonic ms. */
+  readonly nowMs: number;
+  /** Time that a task takes to resume from its checkpoint, in ms. */
+  readonly restoreMs: number;
+}
+
 /** Measured tail over its target from which fillers give way. */
 const PRESSED_RATIO = 1;
 /** Measured tail over its target below which a filler may go on. */
@@ -31,8 +39,10 @@
 
 /** All fillers yield to a task that misses its target for this long, in ms. */
 const PATIENCE_MS = 1200;
-/** A filler that stands still for this long is moved, in ms. */
-const PAUSE_LIMIT_MS = 1200;
+/** A filler is moved once it stood still for this many restores. */
+const PAUSE_FACTOR = 2;
+/** Up to this cost of a restore a filler is moved at once, in ms. */
+const CHEAP_RESTORE_MS = 200;
 /** A measured tail shows relief after this time, in ms. */
 const SETTLE_MS = 700;
 
@@ -43,7 +53,7 @@
 export function planRelief(
   model: PressureModel,
   worker: WorkerRecord,
-  nowMs: number,
+  { nowMs, restoreMs }: ReliefOptions,
 ): ReliefOrder[] {
   const fillers = listFillers(worker);
   if (fillers.length === 0 || nowMs - worker.relievedMs < SETTLE_MS) return [];
@@ -60,12 +70,16 @@
         ? fillers.filter(({ pacePercent }) => pacePercent > 0)
         : chooseYielding(model, attempt, fillers);
     for (const filler of yielding) {
-      orders.set(filler, { filler, relief: Relief.Pause, ratio });
+      const isCheap = restoreMs <= CHEAP_RESTORE_MS && canMove(filler);
+      const relief = isCheap ? Relief.Move : Relief.Pause;
+      orders.set(filler, { filler, relief, ratio });
     }
   }
   if (orders.size > 0) worker.relievedMs = nowMs;
   for (const filler of fillers) {
-    if (!hasWaited(filler, nowMs) || !canMove(filler)) continue;
+    const pausedMs = nowMs - (filler.pausedMs ?? nowMs);
+    if (pausedMs < PAUSE_FACTOR * restoreMs || !canMove(filler)) continue;
+    if (filler.pausedMs === undefined) continue;
     orders.set(filler, { filler, relief: Relief.Move, ratio: worst });
   }
   if (worst > RELEASE_RATIO) return [...orders.values()];
@@ -102,10 +116,6 @@
   return chosen;
 }
 
-function hasWaited({ pausedMs }: Attempt, nowMs: number): boolean {
-  return pausedMs !== undefined && nowMs - pausedMs > PAUSE_LIMIT_MS;
-}
-
 function canMove({ task, phase }: Attempt): boolean {
   return task.stepRun.step.isCheckpointing && phase === AttemptPhase.Running;
 }
--- a/packages/jobs/src/pressure_test.ts
+++ b/packages/jobs/src/pressure_test.ts
@@ -66,6 +66,8 @@
   readonly overMs?: number;
   /** The fillers stand still for this long; undefined: they work. */
   readonly pausedMs?: number;
+  /** Time of a restore from a checkpoint; else 600 ms. */
+  readonly restoreMs?: number;
   readonly orders: readonly string[];
 }[] = [
   { name: "all is well", fillers: ["heavy"], ratio: 0.7, orders: [] },
@@ -75,6 +77,13 @@
     ratio: 1.2,
     orders: ["heavy pause"],
   },
+  {
+    name: "where a restore costs little the filler moves at once",
+    fillers: ["light", "heavy"],
+    ratio: 1.2,
+    restoreMs: 100,
+    orders: ["heavy move"],
+  },
   {
     name: "all yield when the tail stays over its target",
     fillers: ["light", "heavy"],
@@ -108,6 +117,7 @@
 for (const given of RELIEF_CASES) {
   test(`pressure relief: ${given.name}`, () => {
     const { fillers: images, ratio, overMs, pausedMs, orders } = given;
+    const { restoreMs = 600 } = given;
     const model = new PressureModel();
     learn(model);
     const nowMs = 100_000;
@@ -121,7 +131,7 @@
       filler.pausedMs = nowMs - pausedMs;
       filler.pacePercent = 0;
     }
-    const planned = planRelief(model, worker, nowMs).map(
+    const planned = planRelief(model, worker, { nowMs, restoreMs }).map(
       ({ filler, relief }) => `${filler.task.stepRun.step.image} ${relief}`,
     );
     assert.deepEqual(planned, orders);
@@ -135,9 +145,11 @@
   serving.figure = 2 * TARGET_MS;
   serving.percent = 100;
   serving.overSinceMs = 0;
-  const [first] = planRelief(model, worker, 1000);
+  const restoreMs = 600;
+  const [first] = planRelief(model, worker, { nowMs: 1000, restoreMs });
   assert.equal(first?.relief, Relief.Pause);
-  assert.deepEqual(planRelief(model, worker, 1100), []);
+  const next = planRelief(model, worker, { nowMs: 1100, restoreMs });
+  assert.deepEqual(next, []);
 });
 
 const RESOURCES = {
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -58,6 +58,8 @@
   readonly leaseMs: number;
   /** Right to order after the last commit, in ms. */
   readonly rightMs: number;
+  /** Time that a task takes to resume from its checkpoint, in ms. */
+  readonly restoreMs: number;
 }
 
 /** The leadership that a term starts with. */
@@ -630,7 +632,9 @@
   #relieve(worker: WorkerRecord): void {
     const nowMs = this.#options.clock.nowMs();
     this.#model.observe(worker, nowMs);
-    for (const order of planRelief(this.#model, worker, nowMs)) {
+    const { restoreMs } = this.#options;
+    const options = { nowMs, restoreMs };
+    for (const order of planRelief(this.#model, worker, options)) {
       const { filler, relief, ratio } = order;
       const { stepRun, index } = filler.task;
       this.#options.journal.info("A filler changes its pace.", {
