--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -1,6 +1,9 @@
 import type { Attempt } from "./task";
 import type { EndedRun, RegisteredWorker } from "./task_worker";
 
+/** Part of its reservation that a serving task leaves unused on the mean. */
+const IDLE_SHARE = 0.5;
+
 /** A worker in the leading scheduler's memory. */
 export class WorkerRecord {
   readonly id: string;
@@ -34,6 +37,8 @@
   cpuMilli = 0;
   memoryMb = 0;
   accelerators = 0;
+  /** Part of it that serving tasks have reserved. */
+  servingMilli = 0;
   /** What fillers would use, in thousandths of a core. */
   fillerMilli = 0;
   /** Attempts that serve and have a target. */
@@ -80,9 +85,10 @@
     return Math.min(this.lastEnd, ...numbers);
   }
 
-  /** Processor time that nothing is meant to use, in thousandths of a core. */
+  /** Processor time that is likely to be left over, in thousandths of a core. */
   get leftoverMilli(): number {
-    return this.info.capacity.cpuMilli - this.cpuMilli - this.fillerMilli;
+    const usedMilli = this.cpuMilli - IDLE_SHARE * this.servingMilli;
+    return this.info.capacity.cpuMilli - usedMilli - this.fillerMilli;
   }
 
   /** What its tasks do, or how fast, has changed. */
@@ -92,9 +98,10 @@
 
   #count({ task }: Attempt, sign: 1 | -1): void {
     this.touch();
-    const { resources, isFiller } = task.stepRun.step;
+    const { resources, isFiller, targetMs } = task.stepRun.step;
     if (isFiller) this.fillerMilli += sign * resources.cpuMilli;
     else this.cpuMilli += sign * resources.cpuMilli;
+    if (targetMs > 0) this.servingMilli += sign * resources.cpuMilli;
     this.memoryMb += sign * resources.memoryMb;
     this.accelerators += sign * resources.accelerators;
   }
