--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -33,7 +33,7 @@
 }
 
 const ALL_CORES = { cpuMilli: 16_000, memoryMb: 1000, accelerators: 0 };
-const QUARTER = { cpuMilli: 4000, memoryMb: 1000, accelerators: 0 };
+const FIVE_CORES = { cpuMilli: 5000, memoryMb: 1000, accelerators: 0 };
 const HALF = { cpuMilli: 8000, memoryMb: 1000, accelerators: 0 };
 
 const CASES: readonly Case[] = [
@@ -193,7 +193,7 @@
         id: "a",
         steps: [
           { image: "i", targetMs: 100, isLongRunning: true },
-          { image: "f", isFiller: true, count: 2, resources: QUARTER },
+          { image: "f", isFiller: true, count: 2, resources: FIVE_CORES },
         ],
       },
     ],
