--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -293,6 +293,7 @@
         this.#onDone(task, wallMs);
         break;
       case RunEnd.Failed:
+        task.failedOn.add(worker.id);
         this.#onFailed(task, ended.run, { nowMs, wallMs });
         break;
       default:
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -96,6 +96,7 @@
     index,
     isDone: false,
     failedRuns: new Set(),
+    failedOn: new Set(),
     lastRun: runFloor,
     checkpoint: "",
     attempts: [],
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -95,7 +95,7 @@
     if (plan.starts.length >= options.limit) return;
     const harmLimit = harmLimitOf(stepRun, options);
     if (plan.misfits.has(pool, stepRun.step, harmLimit)) return;
-    const worker = chooseWorker(stepRun, plan.workers, options);
+    const worker = chooseForTask(task, plan);
     if (worker === undefined) {
       // A limit by the step's own tasks says nothing of other steps.
       if (stepRun.step.perWorkerLimit === 0) {
@@ -109,6 +109,19 @@
   }
 }
 
+/** Where the task failed it goes only when it fits nowhere else. */
+function chooseForTask(
+  { stepRun, failedOn }: Task,
+  { workers, options }: StepPlan,
+): WorkerRecord | undefined {
+  if (failedOn.size > 0) {
+    const others = workers.filter(({ id }) => !failedOn.has(id));
+    const worker = chooseWorker(stepRun, others, options);
+    if (worker !== undefined) return worker;
+  }
+  return chooseWorker(stepRun, workers, options);
+}
+
 /** Starts all members in one round, or none. */
 function planGang(
   board: JobBoard,
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -216,6 +216,34 @@
   });
 }
 
+const RETRY_CASES = [
+  { name: "a task that failed goes elsewhere", workers: ["w", "x"], to: "x" },
+  { name: "unless there is no other worker", workers: ["w"], to: "w" },
+];
+
+for (const { name, workers, to } of RETRY_CASES) {
+  test(`start planner: ${name}`, () => {
+    const board = createBoard({
+      name,
+      workers: workers.map((id) => [id] as const),
+      jobs: [{ id: "a", steps: [{}] }],
+      starts: [],
+    });
+    const task = board.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0];
+    assert.ok(task);
+    task.failedOn.add("w");
+    const [attempt] = planStarts(board, {
+      nowMs: 0,
+      wallMs: 0,
+      limit: 100,
+      model: new PressureModel(),
+      isUsable: () => true,
+      isSettled: () => true,
+    });
+    assert.equal(attempt?.worker.id, to);
+  });
+}
+
 test("start planner: members of a gang share a run and a checkpoint", () => {
   const board = createBoard({
     name: "",
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -48,6 +48,8 @@
   isDone: boolean;
   /** Numbers of the runs that failed. */
   readonly failedRuns: Set<number>;
+  /** Workers on which it failed: it is started elsewhere if possible. */
+  readonly failedOn: Set<string>;
   /** Highest number of a run. */
   lastRun: number;
   checkpoint: string;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -29,13 +29,15 @@
 import { listStalled, setStalledAside } from "@laburnumtrack/jobs/stalled_runs";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, Task } from "@laburnumtrack/jobs/task";
-import type {
-  EndedRun,
-  RegisteredWorker,
-  TaskWorker,
+import {
+  type EndedRun,
+  type RegisteredWorker,
+  RunEnd,
+  type TaskWorker,
 } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
+import { WorkerHealth } from "@laburnumtrack/policy/worker_health";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { RowFollower } from "@laburnumtrack/process/row_follower";
@@ -97,6 +99,8 @@
 const RUNS_PER_EPOCH = 256;
 /** Time between two lines on what is held, in ms. */
 const REPORT_MS = 10_000;
+/** How long a worker is set aside on which all runs fail. */
+const ASIDE_TIMES = { firstMs: 3000, longestMs: 24_000 };
 /** Tries to hand leadership back; without it the next leader waits longer. */
 const RELEASE_TRIES = 8;
 /** Pause after a fault of this program in a worker's link, in ms. */
@@ -114,6 +118,7 @@
   readonly #closer: RowCloser;
   readonly #plan: Signal;
   readonly #model = new PressureModel();
+  readonly #health = new WorkerHealth(ASIDE_TIMES);
   readonly #links = new Map<string, OpenLink>();
   readonly #states = new Map<string, JobState>();
   readonly #over = new AbortController();
@@ -384,11 +389,35 @@
       worker.isRegistered &&
       worker.hasReported &&
       !worker.info.isDraining &&
+      this.#hasProbeRoom(worker, nowMs) &&
       worker.asideUntilMs <= nowMs &&
       nowMs - worker.reportMs < REPORT_AGE_MS
     );
   }
 
+  /** A worker on which all fails is set aside, then tried with one task. */
+  #hasProbeRoom(worker: WorkerRecord, nowMs: number): boolean {
+    const room = this.#health.roomOn(worker.id, nowMs);
+    if (room === Number.POSITIVE_INFINITY) return true;
+    return room > 0 && worker.attempts.size <= worker.serving.size;
+  }
+
+  /** Judges a worker by how its runs end. */
+  #judge(worker: WorkerRecord, jobId: string, end: RunEnd): void {
+    if (end === RunEnd.Done) this.#health.onDone(worker.id);
+    if (end !== RunEnd.Failed) return;
+    const wasToBlame = this.#health.isToBlame(worker.id);
+    this.#health.onFailed(worker.id, jobId, this.#options.clock.nowMs());
+    if (wasToBlame || !this.#health.isToBlame(worker.id)) return;
+    this.#options.journal.warn(
+      "A worker fails what it runs; it is set aside.",
+      {
+        worker: worker.id,
+        job: jobId,
+      },
+    );
+  }
+
   /** Whether it is certain where all runs are. */
   #checkSettled(): boolean {
     if (this.#isSettled) return true;
@@ -683,7 +712,8 @@
     const { metrics, journal } = this.#options;
     metrics.count(`ends{end="${end}"}`);
     this.#plan.set();
-    if (end === "done") return;
+    this.#judge(worker, task.stepRun.record.job.id, end);
+    if (end === RunEnd.Done) return;
     journal.info("A run did not end as done.", {
       job: task.stepRun.record.job.id,
       step: task.stepRun.number,
--- a/packages/policy/src/worker_health.ts
+++ b/packages/policy/src/worker_health.ts
@@ -10,8 +10,14 @@
 
 const WORKLOADS_TO_BLAME = 2;
 const STREAK_TO_BLAME = 6;
-const FIRST_ASIDE_MS = 30_000;
-const LONGEST_ASIDE_MS = 1_800_000;
+/** For how long a worker is set aside. */
+export interface AsideTimes {
+  /** In ms; it doubles with each probe that fails. */
+  readonly firstMs: number;
+  readonly longestMs: number;
+}
+
+const DEFAULT_TIMES: AsideTimes = { firstMs: 30_000, longestMs: 1_800_000 };
 
 /**
  * Tells a worker that fails every task from a job that fails on every worker:
@@ -20,6 +26,11 @@
  */
 export class WorkerHealth {
   readonly #records = new Map<string, Record>();
+  readonly #times: AsideTimes;
+
+  constructor(times: AsideTimes = DEFAULT_TIMES) {
+    this.#times = times;
+  }
 
   /** Takes in a run that failed. */
   onFailed(worker: string, workload: string, nowMs: number): void {
@@ -34,8 +45,8 @@
     if (record.asideUntilMs > nowMs) return;
     record.asideMs =
       record.asideMs === 0
-        ? FIRST_ASIDE_MS
-        : Math.min(record.asideMs * 2, LONGEST_ASIDE_MS);
+        ? this.#times.firstMs
+        : Math.min(record.asideMs * 2, this.#times.longestMs);
     record.asideUntilMs = nowMs + record.asideMs;
   }
 
--- a/packages/policy/src/worker_health_test.ts
+++ b/packages/policy/src/worker_health_test.ts
@@ -76,3 +76,14 @@
   health.onDone("w");
   assert.equal(health.roomOn("w", 92_000), Infinity);
 });
+
+test("worker health: the times aside are as given", () => {
+  const health = new WorkerHealth({ firstMs: 100, longestMs: 150 });
+  health.onFailed("w", "a", 0);
+  health.onFailed("w", "b", 0);
+  assert.equal(health.roomOn("w", 99), 0);
+  assert.equal(health.roomOn("w", 101), 1);
+  health.onFailed("w", "c", 101);
+  assert.equal(health.roomOn("w", 250), 0);
+  assert.equal(health.roomOn("w", 252), 1);
+});
