--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -41,6 +41,8 @@
 const PATIENCE_MS = 1200;
 /** A filler is moved once it stood still for this many restores. */
 const PAUSE_FACTOR = 2;
+/** A filler stays for this long before it is moved again, in ms. */
+const LEAST_STAY_MS = 1000;
 /** Up to this cost of a restore a filler is moved at once, in ms. */
 const CHEAP_RESTORE_MS = 200;
 /** A measured tail shows relief after this time, in ms. */
@@ -70,7 +72,7 @@
         ? fillers.filter(({ pacePercent }) => pacePercent > 0)
         : chooseYielding(model, attempt, fillers);
     for (const filler of yielding) {
-      const isCheap = restoreMs <= CHEAP_RESTORE_MS && canMove(filler);
+      const isCheap = restoreMs <= CHEAP_RESTORE_MS && canMove(filler, nowMs);
       const relief = isCheap ? Relief.Move : Relief.Pause;
       orders.set(filler, { filler, relief, ratio });
     }
@@ -78,7 +80,8 @@
   if (orders.size > 0) worker.relievedMs = nowMs;
   for (const filler of fillers) {
     const pausedMs = nowMs - (filler.pausedMs ?? nowMs);
-    if (pausedMs < PAUSE_FACTOR * restoreMs || !canMove(filler)) continue;
+    if (pausedMs < PAUSE_FACTOR * restoreMs || !canMove(filler, nowMs))
+      continue;
     if (filler.pausedMs === undefined) continue;
     orders.set(filler, { filler, relief: Relief.Move, ratio: worst });
   }
@@ -116,6 +119,11 @@
   return chosen;
 }
 
-function canMove({ task, phase }: Attempt): boolean {
-  return task.stepRun.step.isCheckpointing && phase === AttemptPhase.Running;
+function canMove(attempt: Attempt, nowMs: number): boolean {
+  const { task, phase, confirmedMs } = attempt;
+  return (
+    task.stepRun.step.isCheckpointing &&
+    phase === AttemptPhase.Running &&
+    nowMs - (confirmedMs ?? nowMs) > LEAST_STAY_MS
+  );
 }
--- a/packages/jobs/src/pressure_test.ts
+++ b/packages/jobs/src/pressure_test.ts
@@ -66,6 +66,8 @@
   readonly overMs?: number;
   /** The fillers stand still for this long; undefined: they work. */
   readonly pausedMs?: number;
+  /** Time for which the fillers are at work there; else 5 s. */
+  readonly sinceMs?: number;
   /** Time of a restore from a checkpoint; else 600 ms. */
   readonly restoreMs?: number;
   readonly orders: readonly string[];
@@ -84,6 +86,14 @@
     restoreMs: 100,
     orders: ["heavy move"],
   },
+  {
+    name: "a filler that has just come pauses, whatever a restore costs",
+    fillers: ["light", "heavy"],
+    ratio: 1.2,
+    restoreMs: 100,
+    sinceMs: 500,
+    orders: ["heavy pause"],
+  },
   {
     name: "all yield when the tail stays over its target",
     fillers: ["light", "heavy"],
@@ -117,11 +127,12 @@
 for (const given of RELIEF_CASES) {
   test(`pressure relief: ${given.name}`, () => {
     const { fillers: images, ratio, overMs, pausedMs, orders } = given;
-    const { restoreMs = 600 } = given;
+    const { restoreMs = 600, sinceMs = 5000 } = given;
     const model = new PressureModel();
     learn(model);
     const nowMs = 100_000;
     const { worker, serving, fillers } = createStage(images);
+    for (const filler of fillers) filler.confirmedMs = nowMs - sinceMs;
     serving.figure = ratio * TARGET_MS;
     serving.percent = 100;
     if (overMs !== undefined) serving.overSinceMs = nowMs - overMs;
