fix(desk): requests are refused at once while the table is known to be away

Change: nothing is sent while the follower has had no answer for 0.3 s; calls are bounded by the deadline; a follower that lost the table asks in short calls.

--- a/packages/desk/src/job_desk.ts
+++ b/packages/desk/src/job_desk.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@laburnumtrack/core/clock";
+import { type Clock, WAIT_OVER } from "@laburnumtrack/core/clock";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import type { Table } from "@laburnumtrack/core/table";
 import type { Job } from "@laburnumtrack/jobs/job";
@@ -34,8 +34,6 @@
 const LONGEST_PAUSE_MS = 300;
 /** A table that turns calls away is given this long, in ms. */
 const TURNED_AWAY_MS = 1200;
-/** The same when it has turned away others before: callers go elsewhere. */
-const OUT_OF_TOUCH_MS = 300;
 
 /**
  * Takes jobs from callers, says how they stand, cancels them. Any entry VM
@@ -130,20 +128,36 @@
     attempt: () => Promise<Result<T, Fault>>,
   ): Promise<Result<T, Fault>> {
     const { clock, isInTouch } = this.#options;
+    // Nothing was sent: the caller had better go elsewhere at once.
+    if (!isInTouch()) return Err(new Fault(FaultCode.StoreUnavailable));
     const startMs = clock.nowMs();
-    const patienceMs = isInTouch() ? TURNED_AWAY_MS : OUT_OF_TOUCH_MS;
     let pauseMs = FIRST_PAUSE_MS;
     for (;;) {
-      const outcome = await attempt();
+      const outcome = await this.#bound(deadlineMs, attempt);
       if (outcome.ok || !isRetryable(outcome.val)) return outcome;
       const limitMs = isTurnedAway(outcome.val)
-        ? Math.min(deadlineMs, startMs + patienceMs)
+        ? Math.min(deadlineMs, startMs + TURNED_AWAY_MS)
         : deadlineMs;
       if (clock.nowMs() + pauseMs >= limitMs) return outcome;
       await clock.sleep(pauseMs);
       pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
     }
   }
+
+  /** Gives an attempt up at the deadline: what became of it is unknown. */
+  async #bound<T>(
+    deadlineMs: number,
+    attempt: () => Promise<Result<T, Fault>>,
+  ): Promise<Result<T, Fault>> {
+    const { clock } = this.#options;
+    const over = new AbortController();
+    const late = clock
+      .sleep(deadlineMs - clock.nowMs(), over.signal)
+      .then(() => Err(new Fault(FaultCode.OutcomeUnknown)));
+    const outcome = await Promise.race([attempt(), late]);
+    over.abort(WAIT_OVER);
+    return outcome;
+  }
 }
 
 function isRetryable({ code }: Fault): boolean {
--- a/packages/desk/src/job_desk_test.ts
+++ b/packages/desk/src/job_desk_test.ts
@@ -151,3 +151,30 @@
 function outcomeOf(result: Result<unknown, { code: FaultCode }>): unknown {
   return result.ok ? result.val : result.val.code;
 }
+
+test("job desk: a table known to be away is not asked", async () => {
+  const clock = new VirtualClock();
+  const table = new FeedTableStandin(clock);
+  const desk = new JobDesk({ clock, table, isInTouch: () => false });
+  const done = await desk.submit(JOB, clock.nowMs() + WAIT_MS);
+  assert.equal(outcomeOf(done), FaultCode.StoreUnavailable);
+  await clock.run(WAIT_MS);
+  const rows = table.snapshot("");
+  await clock.run(2 * WAIT_MS);
+  assert.equal((await rows).unwrap().rows.length, 0);
+});
+
+test("job desk: a silent table is answered for by the deadline", async () => {
+  const clock = new VirtualClock();
+  const table = new FeedTableStandin(clock);
+  table.trouble = TableTrouble.Silent;
+  const desk = new JobDesk({ clock, table, isInTouch: () => true });
+  let answeredMs = 0;
+  const done = desk.submit(JOB, 1700).then((result) => {
+    answeredMs = clock.nowMs();
+    return result;
+  });
+  await clock.run(5000);
+  assert.equal(outcomeOf(await done), FaultCode.OutcomeUnknown);
+  assert.ok(answeredMs <= 1700, `answered after ${answeredMs} ms`);
+});
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -27,6 +27,10 @@
 
 /** Longest wait of a call for changes: bounds how long a dead channel hides. */
 const FEED_WAIT_MS = 1000;
+/** The same while the table is lost: its return is to show soon. */
+const LOST_WAIT_MS = 100;
+/** A table that is lost for this long is no slip of one call, in ms. */
+const LOST_MS = 300;
 /** Pause after a failed call. */
 const RETRY_MS = 150;
 
@@ -37,7 +41,8 @@
   /** Highest revision that was seen. */
   #floor: number;
   #contactMs = Number.NEGATIVE_INFINITY;
-  #isLost = false;
+  /** Monotonic ms of the first failure since the last answer. */
+  #lostMs: number | undefined;
 
   constructor(options: RowFollowerOptions) {
     this.#options = options;
@@ -49,9 +54,10 @@
     return this.#contactMs;
   }
 
-  /** Whether the last call was not answered, or turned away. */
+  /** Whether calls have not been answered, or turned away, for a while. */
   get isLost(): boolean {
-    return this.#isLost;
+    const { clock } = this.#options;
+    return this.#lostMs !== undefined && clock.nowMs() - this.#lostMs > LOST_MS;
   }
 
   /** Whether a snapshot was taken. */
@@ -91,7 +97,8 @@
     const { table, prefix, listener, clock } = this.#options;
     const sentMs = clock.nowMs();
     const after = this.#revision ?? 0;
-    const read = await table.changes(prefix, after, FEED_WAIT_MS);
+    const waitMs = this.#lostMs === undefined ? FEED_WAIT_MS : LOST_WAIT_MS;
+    const read = await table.changes(prefix, after, waitMs);
     if (signal.aborted) return true;
     if (read.err) {
       if (read.val.code === FaultCode.HistoryLost) {
@@ -118,16 +125,16 @@
 
   #onContact(sentMs: number): void {
     this.#contactMs = sentMs;
-    if (!this.#isLost) return;
-    this.#isLost = false;
+    if (this.#lostMs === undefined) return;
+    this.#lostMs = undefined;
     const { journal, prefix } = this.#options;
     journal.info("The table answers again.", { prefix });
   }
 
   #onLost(cause: string): void {
-    if (this.#isLost) return;
-    this.#isLost = true;
-    const { journal, prefix } = this.#options;
+    if (this.#lostMs !== undefined) return;
+    const { clock, journal, prefix } = this.#options;
+    this.#lostMs = clock.nowMs();
     journal.warn("The table does not answer.", { prefix, cause });
   }
 }
