refactor(leader): a term in parts: intake of jobs, group of workers, watch over runs

Pure moves; the planner loses an option that was always true, and the time by which a lease has surely lapsed is worked out in one place.

--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -26,8 +26,6 @@
   readonly model: PressureModel;
   /** Whether new work may go to the worker. */
   readonly isUsable: (worker: WorkerRecord) => boolean;
-  /** Whether it is certain where the job's runs are. */
-  readonly isSettled: (record: JobRecord) => boolean;
 }
 
 /**
@@ -193,13 +191,10 @@
   return pools;
 }
 
-function rankJobs(
-  board: JobBoard,
-  { wallMs, isSettled }: PlanOptions,
-): JobRecord[] {
+function rankJobs(board: JobBoard, { wallMs }: PlanOptions): JobRecord[] {
   const ranked: { record: JobRecord; rank: JobRank }[] = [];
   for (const record of board.jobs.values()) {
-    if (isFinal(record.phase) || !isSettled(record)) continue;
+    if (isFinal(record.phase)) continue;
     ranked.push({ record, rank: rankJob(record, wallMs) });
   }
   ranked.sort((a, b) => compareRanks(a.rank, b.rank));
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -210,7 +210,6 @@
       limit: given.limit ?? 100,
       model: new PressureModel(),
       isUsable: () => true,
-      isSettled: () => true,
     });
     assert.deepEqual(attempts.map(describe), given.starts);
   });
@@ -238,7 +237,6 @@
       limit: 100,
       model: new PressureModel(),
       isUsable: () => true,
-      isSettled: () => true,
     });
     assert.equal(attempt?.worker.id, to);
   });
@@ -261,7 +259,6 @@
     limit: 100,
     model: new PressureModel(),
     isUsable: () => true,
-    isSettled: () => true,
   });
   const shown = attempts.map(({ run, task: { checkpoint } }) => [
     run,
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -27,7 +27,7 @@
   /** Whether this leader may still send orders. */
   readonly mayOrder: () => boolean;
   /** The worker has seen a newer leader. */
-  readonly onFenced: () => void;
+  readonly onFenced: (worker: string) => void;
   /** The board changed: plan again, store again. */
   readonly onNews: () => void;
   /** A report was taken in. */
@@ -54,6 +54,11 @@
 /** Pause of a worker that had no room or was not well, in ms. */
 const ASIDE_MS = 300;
 
+/** Monotonic ms at which a lease granted at `grantedMs` has surely lapsed. */
+export function surelyLapsedMs(grantedMs: number, leaseMs: number): number {
+  return grantedMs + leaseMs * LAPSE_FACTOR + LAPSE_SLACK_MS;
+}
+
 /** Renews the lease of one worker, takes in its reports, sends its orders. */
 export class WorkerLink {
   readonly worker: WorkerRecord;
@@ -250,7 +255,7 @@
   }
 
   #onOrderFault(fault: Fault): void {
-    if (fault.code === FaultCode.Fenced) this.#options.onFenced();
+    if (fault.code === FaultCode.Fenced) this.#options.onFenced(this.worker.id);
   }
 
   #onStartReply(
@@ -303,7 +308,7 @@
     const nowMs = clock.nowMs();
     const workerMs = this.#clock.estimate(nowMs);
     if (workerMs === undefined) return undefined;
-    const lapseMs = nowMs + leaseMs * LAPSE_FACTOR + LAPSE_SLACK_MS;
+    const lapseMs = surelyLapsedMs(nowMs, leaseMs);
     this.worker.lapseMs = Math.max(this.worker.lapseMs, lapseMs);
     return workerMs + leaseMs;
   }
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -34,7 +34,7 @@
   },
   {
     name: "jobs that ended are remembered",
-    file: "packages/leader/src/term.ts",
+    file: "packages/leader/src/job_intake.ts",
     from: "if (this.#finished.has(id)) return;",
     to: "",
     also: {
@@ -53,15 +53,15 @@
   },
   {
     name: "a worker without entry is awaited before all is settled",
-    file: "packages/leader/src/term.ts",
-    from: "if (!worker.hasReported && !this.#isSettled) continue;",
+    file: "packages/leader/src/worker_group.ts",
+    from: "if (!worker.hasReported && !isSettled) continue;",
     to: "",
     test: LEADER_CASES,
   },
   {
     name: "workers without entry are found in the roster",
     file: "packages/leader/src/term.ts",
-    from: "() => this.#readRoster(),",
+    from: "() => this.#workers.loadRoster(),",
     to: "",
     test: LEADER_CASES,
   },
