--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -4,6 +4,7 @@
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
+import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
 import { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import { Leadership } from "@laburnumtrack/leader/leadership";
 import { createJournal } from "@laburnumtrack/process/journal";
@@ -53,7 +54,8 @@
 const LEASE_MS = 6000;
 const RIGHT_MS = 8000;
 const RESTORE_MS = 100;
-const CAPACITY = { cpuMilli: 16_000, memoryMb: 64_000, accelerators: 0 };
+/** Tasks of a step, unless a case says otherwise. */
+const TASKS = { count: 4, estimateMs: 500 };
 const SUBMIT_MS = 3000;
 
 /** Entries, workers and a table in virtual time, and what they did. */
@@ -95,7 +97,7 @@
       id,
       queue: "q",
       spec,
-      steps: steps.map((step) => ({ ...STEP, ...step })),
+      steps: steps.map((step) => createStep({ ...TASKS, ...step })),
       repeat: undefined,
       submittedMs: this.clock.wallMs(),
     };
@@ -189,41 +191,12 @@
   }
 }
 
-const STEP: Step = {
-  count: 4,
-  resources: { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 },
-  estimateMs: 500,
-  after: [],
-  isCheckpointing: false,
-  isGang: false,
-  isColocated: false,
-  requiredLabel: "",
-  dataRack: "",
-  perWorkerLimit: 0,
-  isSpeculative: false,
-  isLongRunning: false,
-  image: "",
-  targetMs: 0,
-  isFiller: false,
-  disruptionLimit: 0,
-};
-
 /** Workers of one pool, all alike. */
 class RegistryStandin extends WorkerRegistry {
   override readonly prefix = "workers/";
 
   override decode(id: string): Result<RegisteredWorker, Fault> {
-    return Ok({
-      id,
-      pool: "pool",
-      address: id,
-      failureDomain: "d",
-      isDraining: false,
-      capacity: CAPACITY,
-      labels: [],
-      rack: "",
-      bornMs: 0,
-    });
+    return Ok(createWorkerInfo(id));
   }
 }
 
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -78,18 +78,6 @@
   return score;
 }
 
-/** Whether the step's tasks could run on the worker if it were empty. */
-export function couldFit(step: Step, worker: WorkerRecord): boolean {
-  const { capacity, labels } = worker.info;
-  const { cpuMilli, memoryMb, accelerators } = step.resources;
-  return (
-    (step.requiredLabel === "" || labels.includes(step.requiredLabel)) &&
-    memoryMb <= capacity.memoryMb &&
-    accelerators <= capacity.accelerators &&
-    (step.isFiller || cpuMilli <= capacity.cpuMilli)
-  );
-}
-
 /** Serving tasks of one image stand together, away from what presses. */
 function scoreServing(
   step: Step,
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -49,8 +49,6 @@
   asideUntilMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms at which fillers last gave way here. */
   relievedMs = Number.NEGATIVE_INFINITY;
-  /** Failures in a row. */
-  failureStreak = 0;
 
   constructor(info: RegisteredWorker) {
     this.id = info.id;
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -40,7 +40,6 @@
   #revision: number | undefined;
   /** Highest revision that was seen. */
   #floor: number;
-  #contactMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms of the first failure since the last answer. */
   #lostMs: number | undefined;
 
@@ -49,11 +48,6 @@
     this.#floor = options.floor ?? 0;
   }
 
-  /** Monotonic ms at which the last answered call was sent. */
-  get contactMs(): number {
-    return this.#contactMs;
-  }
-
   /** Whether calls have not been answered, or turned away, for a while. */
   get isLost(): boolean {
     const { clock } = this.#options;
@@ -67,14 +61,13 @@
 
   /** Takes a snapshot now; false when the table does not answer. */
   async load(): Promise<boolean> {
-    const { table, prefix, listener, clock } = this.#options;
-    const sentMs = clock.nowMs();
+    const { table, prefix, listener } = this.#options;
     const read = await table.snapshot(prefix);
     if (read.err) {
       this.#onLost(read.val.message);
       return false;
     }
-    this.#onContact(sentMs);
+    this.#onContact();
     // An old read must not take the follower back.
     if (read.val.revision < this.#floor) return false;
     this.#revision = read.val.revision;
@@ -94,8 +87,7 @@
   }
 
   async #poll(signal: AbortSignal): Promise<boolean> {
-    const { table, prefix, listener, clock } = this.#options;
-    const sentMs = clock.nowMs();
+    const { table, prefix, listener } = this.#options;
     const after = this.#revision ?? 0;
     const waitMs = this.#lostMs === undefined ? FEED_WAIT_MS : LOST_WAIT_MS;
     const read = await table.changes(prefix, after, waitMs);
@@ -111,7 +103,7 @@
       this.#onLost(read.val.message);
       return false;
     }
-    this.#onContact(sentMs);
+    this.#onContact();
     for (const row of read.val.rows) listener.onChange(row);
     this.#revision = Math.max(after, read.val.revision);
     this.#floor = this.#revision;
@@ -123,8 +115,7 @@
     return await this.load();
   }
 
-  #onContact(sentMs: number): void {
-    this.#contactMs = sentMs;
+  #onContact(): void {
     if (this.#lostMs === undefined) return;
     this.#lostMs = undefined;
     const { journal, prefix } = this.#options;
