--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -68,6 +68,11 @@
   return repeat.startMs + occurrence * repeat.intervalMs;
 }
 
+/** Whether the job runs until it is cancelled. */
+export function isLasting(job: Job): boolean {
+  return job.steps.some((step) => step.isLongRunning);
+}
+
 /** Length of the longest chain of steps in ms, by the callers' estimates. */
 export function chainMs(job: Job): number {
   const lengths: number[] = [];
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -1,4 +1,4 @@
-import { chainMs, type Job } from "./job";
+import { chainMs, isLasting, type Job } from "./job";
 import type { JobRecord, StepRun } from "./task";
 
 /** Objective of a job in ms from its submission. */
@@ -37,7 +37,9 @@
   const objective = objectiveMs(record);
   const fromMs = firstMs(record.job);
   return {
-    isWorthless: wallMs > fromMs + WORTHLESS_FACTOR * objective,
+    // A job that lasts is worth something for as long as it lasts.
+    isWorthless:
+      !isLasting(record.job) && wallMs > fromMs + WORTHLESS_FACTOR * objective,
     priority: record.queue?.priority ?? Number.MAX_SAFE_INTEGER,
     dueMs: fromMs + objective,
   };
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -89,6 +89,20 @@
     ],
     starts: ["b.0.0.0 w"],
   },
+  {
+    name: "a job that lasts does not yield, however long ago it came",
+    workers: [["w"]],
+    wallMs: 100_000,
+    jobs: [
+      { id: "a", steps: [{ resources: ALL_CORES }], submittedMs: 99_000 },
+      {
+        id: "b",
+        steps: [{ resources: ALL_CORES, isLongRunning: true }],
+        submittedMs: 0,
+      },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
   {
     name: "a task that fits nowhere does not hold up others",
     workers: [["w"]],
