feat(jobs): pressures learnt from departures; relief by where a tail is heading

The reports, written out and fitted offline, show sparse pairs: a filler's image presses a serving image either hardly (0 to 0.4) or heavily (0.8 to 2.5). The regression had one constant for all tasks of an image though their loads differ from 0.1 to 0.75 and drift, and took tails as immediate though they follow with about 0.3 s: after 10 s its slopes correlated little with the fit (image 5ca beside e2e: 0.17 against 0.8 to 1.1), and ten heavy fillers were put on one worker at once.

Ruled out: multiplicative load, log of the tail, shares in absolute cores, a deconvolved tail (all fit worse or alike: rmse 0.070 to 0.140 against 0.079).

Change: samples are departures of a task's utilization and of the smoothed shares of its worker from their recent means (offline: correlation 0.82 after 10 s). Harm goes on growing where targets are missed already. Relief acts on the tail that is to be expected from its last change.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -50,6 +50,8 @@
 const UNCONFIRMED_MS = 1500;
 /** Reports without a run that was confirmed before it is given up. */
 const MISSING_REPORTS = 2;
+/** A figure is worked out anew about this often, in ms. */
+const FIGURE_MS = 300;
 /** A run of a job that is not known is stopped after this long, in ms. */
 const STRANGER_MS = 2000;
 
@@ -208,7 +210,7 @@
       attempt.progressMs = nowMs;
     }
     attempt.percent = running.percent;
-    attempt.figure = running.figure;
+    recordFigure(attempt, running.figure, nowMs);
     const { targetMs } = task.stepRun.step;
     if (targetMs === 0 || running.figure <= targetMs) {
       attempt.overSinceMs = undefined;
@@ -382,6 +384,8 @@
       pacePercent: 100,
       pausedMs: undefined,
       figure: 0,
+      figureMs: sentMs,
+      formerFigure: 0,
       overSinceMs: undefined,
       percent: 0,
       progressMs: sentMs,
@@ -401,3 +405,12 @@
     attempt.worker.remove(attempt);
   }
 }
+
+/** Reports may repeat a figure: it is compared with the last other one. */
+function recordFigure(attempt: Attempt, figure: number, nowMs: number): void {
+  const isRepeated = figure === attempt.figure;
+  if (isRepeated && nowMs - attempt.figureMs < FIGURE_MS) return;
+  attempt.formerFigure = attempt.figure;
+  attempt.figure = figure;
+  attempt.figureMs = nowMs;
+}
--- a/packages/jobs/src/pressure_model.ts
+++ b/packages/jobs/src/pressure_model.ts
@@ -1,4 +1,5 @@
 import type { Step } from "./job";
+import { PressureSamples } from "./pressure_samples";
 import { RidgeRegression, type Slopes } from "./ridge_regression";
 import { type Attempt, AttemptPhase } from "./task";
 import type { WorkerRecord } from "./worker_record";
@@ -9,17 +10,21 @@
 const DEFAULT_PRESSURE = 0.7;
 /** Weight of a new figure in the estimate of a task's load. */
 const LOAD_SHARE = 0.4;
+/** Weight of a task's load in the mean of its image. */
+const MEAN_SHARE = 0.02;
 /** Bounds of the estimate of a task's own load. */
 const LEAST_LOAD = 0.1;
 const MOST_LOAD = 0.8;
 /** Above this a tail tells only that the task is overloaded. */
 const SATURATED = 0.93;
-/** Utilization that stands for any that is saturated. */
-const OVERLOADED = 1.1;
+/** Part of a tail that a task loses between reports while its queue drains. */
+const DRAINED_PART = 0.1;
 /** Utilization over the limit at which a task is sure to miss its target. */
 const SURE_EXCESS = 0.12;
 /** Change of utilization that changes the risk by a factor of e. */
 const RISK_SCALE = 0.1;
+/** Harm for each such change beyond a sure miss: the recovery takes longer. */
+const OVERLOAD_SLOPE = 0.5;
 /** Time between two solutions of a model, in ms. */
 const SOLVE_MS = 500;
 
@@ -29,8 +34,10 @@
 const BARRED_HARM = 1000;
 
 interface ServingImage {
-  /** Utilization by fillers' images. */
+  /** Change of utilization by changes of fillers' shares. */
   readonly regression: RidgeRegression;
+  /** Mean of the tasks' own loads. */
+  meanLoad: number;
   /** Least tail latency seen, in ms. */
   bestTailMs: number;
   solvedMs: number;
@@ -47,7 +54,7 @@
 interface ServingState {
   readonly attempt: Attempt;
   readonly utilization: number;
-  readonly risk: number;
+  readonly harm: number;
 }
 
 /**
@@ -58,6 +65,7 @@
  */
 export class PressureModel {
   readonly #images = new Map<string, ServingImage>();
+  readonly #samples = new PressureSamples();
   /** Estimates of attempts' own loads. */
   readonly #loads = new WeakMap<Attempt, number>();
 
@@ -69,10 +77,10 @@
   /** Takes in the figures that a worker has just reported. */
   observe(worker: WorkerRecord, nowMs: number): void {
     if (worker.serving.size === 0 || !worker.isRegistered) return;
-    const fillers = listFillers(worker);
+    this.#samples.observeFillers(worker, measureFillers(worker), nowMs);
     for (const attempt of worker.serving) {
       if (attempt.figure <= 0 || attempt.percent < 100) continue;
-      this.#learn(attempt, fillers, nowMs);
+      this.#learn(attempt, nowMs);
     }
     worker.touch();
   }
@@ -91,7 +99,9 @@
 
   /** Estimated own load of a serving task. */
   loadOf(attempt: Attempt): number {
-    return this.#loads.get(attempt) ?? DEFAULT_LOAD;
+    const { image } = attempt.task.stepRun.step;
+    const mean = this.#images.get(image)?.meanLoad;
+    return this.#loads.get(attempt) ?? mean ?? DEFAULT_LOAD;
   }
 
   /** Utilization above which a serving task misses its target. */
@@ -102,22 +112,27 @@
     return Math.min(SATURATED, 1 - best / targetMs);
   }
 
-  /** Risk that a serving task misses its target, 0 to 1. */
-  riskAt(attempt: Attempt, utilization: number): number {
+  /**
+   * Harm to a serving task: up to 1 the risk that it misses its target, and
+   * more the further it is overloaded.
+   */
+  harmAt(attempt: Attempt, utilization: number): number {
     const excess = utilization - this.limitOf(attempt) - SURE_EXCESS;
-    return Math.min(1, Math.exp(excess / RISK_SCALE));
+    const scaled = excess / RISK_SCALE;
+    return scaled <= 0 ? Math.exp(scaled) : 1 + scaled * OVERLOAD_SLOPE;
   }
 
-  /** Serving tasks of a worker that a filler of the step would push over. */
+  /** Harm that a filler of the step would add on a worker. */
   harmOf(step: Step, worker: WorkerRecord, nowMs: number): number {
     const share = step.resources.cpuMilli / worker.info.capacity.cpuMilli;
     let harm = 0;
-    for (const { attempt, utilization, risk } of this.#statesOf(worker)) {
+    for (const state of this.#statesOf(worker)) {
+      const { attempt, utilization } = state;
       const overMs = nowMs - (attempt.overSinceMs ?? nowMs);
       if (overMs > BARRED_MS) return BARRED_HARM;
       const { image } = attempt.task.stepRun.step;
       const after = utilization + this.pressureOf(step.image, image) * share;
-      harm += this.riskAt(attempt, after) - risk;
+      harm += this.harmAt(attempt, after) - state.harm;
     }
     return harm;
   }
@@ -162,47 +177,52 @@
     if (known?.change === worker.change) return known.states;
     const states = [...worker.serving].map((attempt) => {
       const utilization = this.utilizationOf(attempt);
-      const risk = this.riskAt(attempt, utilization);
-      return { attempt, utilization, risk };
+      const harm = this.harmAt(attempt, utilization);
+      return { attempt, utilization, harm };
     });
     this.#states.set(worker, { change: worker.change, states });
     return states;
   }
 
-  #learn(attempt: Attempt, fillers: readonly Attempt[], nowMs: number): void {
+  #learn(attempt: Attempt, nowMs: number): void {
     const { image } = attempt.task.stepRun.step;
     const known = this.#imageOf(image);
-    known.bestTailMs = Math.min(known.bestTailMs, attempt.figure);
-    const best = known.bestTailMs;
-    const observed = 1 - best / attempt.figure;
-    const isSaturated = observed > SATURATED;
-    known.regression.add(
-      fillers.map((filler) => ({
-        name: filler.task.stepRun.step.image,
-        value: activeShareOf(filler),
-      })),
-      isSaturated ? OVERLOADED : observed,
-    );
+    const { figure, formerFigure } = attempt;
+    known.bestTailMs = Math.min(known.bestTailMs, figure);
+    const observed = Math.min(SATURATED, 1 - known.bestTailMs / figure);
+    const isDraining =
+      formerFigure > attempt.task.stepRun.step.targetMs &&
+      figure < formerFigure * (1 - DRAINED_PART);
+    // While its queue drains, the tail says nothing of the load.
+    if (isDraining || figure === formerFigure) return;
+    const sample = this.#samples.sample(attempt, observed, nowMs);
+    if (sample !== undefined) {
+      known.regression.add(sample.features, sample.change);
+    }
     if (nowMs - known.solvedMs > SOLVE_MS) {
       known.solvedMs = nowMs;
       known.regression.solve();
     }
-    // While its queue drains, the tail says nothing of the load.
-    if (isSaturated) {
-      if (fillers.length === 0) this.#loads.set(attempt, MOST_LOAD);
-      return;
+    let pressed = 0;
+    for (const [name, share] of this.#samples.sharesOf(attempt.worker)) {
+      pressed += this.pressureOf(name, image) * share;
     }
-    const own = observed - this.#sum(attempt, fillers);
-    const former = this.#loads.get(attempt) ?? known.regression.base;
+    const own = Math.max(LEAST_LOAD, observed - pressed);
+    // Of a saturated task it is only known that it has at least that load.
+    const isSaturated = observed >= SATURATED;
+    const former = this.#loads.get(attempt) ?? known.meanLoad;
+    if (isSaturated && own < former) return;
     const next = former + (own - former) * LOAD_SHARE;
-    this.#loads.set(attempt, Math.min(MOST_LOAD, Math.max(LEAST_LOAD, next)));
+    this.#loads.set(attempt, Math.min(MOST_LOAD, next));
+    known.meanLoad += (next - known.meanLoad) * MEAN_SHARE;
   }
 
   #imageOf(image: string): ServingImage {
     let known = this.#images.get(image);
     if (known === undefined) {
       known = {
-        regression: new RidgeRegression(DEFAULT_PRESSURE, DEFAULT_LOAD),
+        regression: new RidgeRegression(DEFAULT_PRESSURE, 0),
+        meanLoad: DEFAULT_LOAD,
         bestTailMs: Number.POSITIVE_INFINITY,
         solvedMs: Number.NEGATIVE_INFINITY,
       };
@@ -218,6 +238,21 @@
   return ((cpuMilli / worker.info.capacity.cpuMilli) * pacePercent) / 100;
 }
 
+/** Share of a worker that its fillers use, by image, as they report it. */
+function measureFillers(worker: WorkerRecord): Map<string, number> {
+  const used = new Map<string, number>();
+  for (const filler of worker.fillers) {
+    const { image } = filler.task.stepRun.step;
+    // The first reports of a run say nothing yet.
+    const share =
+      filler.figure > 0
+        ? filler.figure / worker.info.capacity.cpuMilli
+        : activeShareOf(filler);
+    used.set(image, (used.get(image) ?? 0) + share);
+  }
+  return used;
+}
+
 /** Attempts on a worker that fill what others leave and are not stopping. */
 export function listFillers(worker: WorkerRecord): Attempt[] {
   return [...worker.fillers].filter(
--- a/packages/jobs/src/pressure_relief.ts
+++ b/packages/jobs/src/pressure_relief.ts
@@ -16,7 +16,7 @@
 export interface ReliefOrder {
   readonly filler: Attempt;
   readonly relief: Relief;
-  /** Measured tail over its target, of the worst off serving task. */
+  /** Tail that is to be expected over its target, of the worst off task. */
   readonly ratio: number;
 }
 
@@ -28,9 +28,9 @@
   readonly restoreMs: number;
 }
 
-/** Measured tail over its target from which fillers give way. */
+/** Expected tail over its target from which fillers give way. */
 const PRESSED_RATIO = 1;
-/** Measured tail over its target below which a filler may go on. */
+/** Tail over its target, measured and expected, below which a filler may go on. */
 const RELEASE_RATIO = 0.6;
 /** Serving tasks that a filler may push over when it goes on. */
 const RELEASE_HARM = 0.15;
@@ -47,6 +47,8 @@
 const CHEAP_RESTORE_MS = 200;
 /** A measured tail shows relief after this time, in ms. */
 const SETTLE_MS = 700;
+/** Part of its last change by which a tail is taken to go on moving. */
+const TREND_PART = 0.6;
 
 /**
  * Says which fillers give way on a worker whose serving tasks miss their
@@ -63,8 +65,9 @@
   let worst = 0;
   const orders = new Map<Attempt, ReliefOrder>();
   for (const attempt of serving) {
-    const ratio = attempt.figure / attempt.task.stepRun.step.targetMs;
-    worst = Math.max(worst, ratio);
+    const { targetMs } = attempt.task.stepRun.step;
+    const ratio = tailAhead(attempt) / targetMs;
+    worst = Math.max(worst, ratio, attempt.figure / targetMs);
     if (ratio < PRESSED_RATIO) continue;
     const overMs = nowMs - (attempt.overSinceMs ?? nowMs);
     const yielding =
@@ -97,6 +100,12 @@
   return [...orders.values()];
 }
 
+/** Where a tail is heading, in ms: it follows its causes with a lag. */
+function tailAhead({ figure, formerFigure }: Attempt): number {
+  if (formerFigure <= 0) return figure;
+  return figure + (figure - formerFigure) * TREND_PART;
+}
+
 /** The fillers that have to yield until a serving task has room again. */
 function chooseYielding(
   model: PressureModel,
--- a/packages/jobs/src/pressure_test.ts
+++ b/packages/jobs/src/pressure_test.ts
@@ -39,8 +39,9 @@
   learn(model);
   assert.ok(model.pressureOf("heavy", "serving") > 2);
   assert.ok(model.pressureOf("light", "serving") < 0.7);
-  const { worker, serving } = createStage([]);
-  report(serving, []);
+  const stage = createStage([]);
+  const { worker } = stage;
+  report(stage);
   model.observe(worker, 0);
   const heavy = createStep({ image: "heavy", isFiller: true, ...RESOURCES });
   const light = createStep({ image: "light", isFiller: true, ...RESOURCES });
@@ -48,6 +49,24 @@
   assert.ok(model.harmOf(light, worker, 0) < 0.05);
 });
 
+test("pressure: a few seconds beside one task tell the images apart", () => {
+  const model = new PressureModel();
+  learn(model, 12);
+  const heavy = model.pressureOf("heavy", "serving");
+  assert.ok(heavy > 1.5);
+  assert.ok(model.pressureOf("light", "serving") < heavy / 3);
+});
+
+test("pressure: harm goes on growing where all targets are missed", () => {
+  const model = new PressureModel();
+  learn(model);
+  const { worker, serving } = createStage(["heavy", "heavy"]);
+  serving.percent = 100;
+  const heavy = createStep({ image: "heavy", isFiller: true, ...RESOURCES });
+  assert.ok(model.utilizationOf(serving) > 1);
+  assert.ok(model.harmOf(heavy, worker, 0) > 0.5);
+});
+
 test("pressure: what was learnt is taken over by the next leader", () => {
   const former = new PressureModel();
   learn(former);
@@ -62,6 +81,8 @@
   readonly fillers: readonly ("heavy" | "light")[];
   /** Measured tail over its target. */
   readonly ratio: number;
+  /** The same in the report before; else as now. */
+  readonly formerRatio?: number;
   /** The tail is over its target for this long. */
   readonly overMs?: number;
   /** The fillers stand still for this long; undefined: they work. */
@@ -101,6 +122,20 @@
     overMs: 2000,
     orders: ["light pause", "heavy pause"],
   },
+  {
+    name: "fillers yield before a tail that rises quickly is over its target",
+    fillers: ["light", "heavy"],
+    ratio: 0.8,
+    formerRatio: 0.3,
+    orders: ["heavy pause"],
+  },
+  {
+    name: "nothing more yields while a tail falls back under its target",
+    fillers: ["light", "heavy"],
+    ratio: 2,
+    formerRatio: 5,
+    orders: [],
+  },
   {
     name: "a filler goes on when there is room again",
     fillers: ["light"],
@@ -134,6 +169,7 @@
     const { worker, serving, fillers } = createStage(images);
     for (const filler of fillers) filler.confirmedMs = nowMs - sinceMs;
     serving.figure = ratio * TARGET_MS;
+    serving.formerFigure = (given.formerRatio ?? ratio) * TARGET_MS;
     serving.percent = 100;
     if (overMs !== undefined) serving.overSinceMs = nowMs - overMs;
     else if (ratio > 1) serving.overSinceMs = nowMs;
@@ -206,35 +242,39 @@
   return { worker, serving, fillers };
 }
 
-/** Sets the figures that a worker would report. */
-function report(serving: Attempt, fillers: readonly Attempt[]): void {
-  let utilization = LOAD;
-  for (const { task } of fillers) {
+/** Sets the figures that a worker would report, by the fillers at work. */
+function report({ serving, fillers }: Stage, load = LOAD): void {
+  let utilization = load;
+  for (const { task, pacePercent } of fillers) {
     const image = task.stepRun.step.image as keyof typeof PRESSURES;
-    utilization += PRESSURES[image] * FILLER_SHARE;
+    utilization += (PRESSURES[image] * FILLER_SHARE * pacePercent) / 100;
   }
   serving.percent = 100;
+  serving.formerFigure = serving.figure;
   serving.figure = BEST_MS / Math.max(0.02, 1 - utilization);
 }
 
-/** Lets a model see mixes of both images. */
-function learn(model: PressureModel): void {
+/** Lets a model see fillers of both images come and go beside a task. */
+function learn(model: PressureModel, rounds = 60): void {
   const quiet = createStage([]);
   quiet.serving.percent = 100;
   quiet.serving.figure = BEST_MS;
   model.observe(quiet.worker, 0);
-  const mixes = [
-    [],
-    ["light"],
-    ["heavy"],
-    ["light", "heavy"],
-    ["light", "light"],
-  ];
-  for (let round = 0; round < 60; round += 1) {
-    const { worker, serving, fillers } = createStage(
-      mixes[round % mixes.length] ?? [],
-    );
-    report(serving, fillers);
-    model.observe(worker, (round + 1) * REPORT_MS);
+  const mixes = [[], ["light"], ["heavy"], ["light", "heavy"]];
+  // The tasks' own loads differ: only what changes beside one tells.
+  const stages = [0.2, LOAD].map((load) => ({
+    load,
+    stage: createStage(["light", "heavy"]),
+  }));
+  for (let round = 0; round < rounds; round += 1) {
+    const mix = mixes[(round >> 1) % mixes.length] ?? [];
+    for (const { load, stage } of stages) {
+      for (const filler of stage.fillers) {
+        const isActive = mix.includes(filler.task.stepRun.step.image);
+        filler.pacePercent = isActive ? 100 : 0;
+      }
+      report(stage, load);
+      model.observe(stage.worker, (round + 1) * REPORT_MS);
+    }
   }
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -29,6 +29,10 @@
   pausedMs: number | undefined;
   /** Tail latency in ms, or processor use, as last reported. */
   figure: number;
+  /** The figure before that one. */
+  formerFigure: number;
+  /** Monotonic ms at which the figure was taken in. */
+  figureMs: number;
   /** Monotonic ms since which its tail is over the target; undefined: it is not. */
   overSinceMs: number | undefined;
   /** Progress or share of full speed, as last reported. */
--- a/packages/jobs/src/task_worker.ts
+++ b/packages/jobs/src/task_worker.ts
@@ -76,7 +76,7 @@
   readonly checkpoint: string;
   /** Share of full speed, or progress, in percent. */
   readonly percent: number;
-  /** Tail latency in ms of a serving task, else processor use in cores. */
+  /** Tail latency in ms of a serving task, else thousandths of a core in use. */
   readonly figure: number;
 }
 
