feat(leader): larger VMs lead; waiting jobs stay counted over a takeover

Cause: on the grown sites six VMs have 1.35 cores and 34 have 0.32; whoever polled first led, there always a small one.

Ruled out: the planner (rounds 24 ms apart at the median, 0.82 of 1.35 cores, with a large leader).

Change: candidates on larger VMs bid, the leader hands over to the bidder; small VMs wait 0.4 s longer after a large leader. Until the jobs are read, the former leader's counts stand.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -33,6 +33,8 @@
 export interface EntryWorldOptions {
   readonly entries: number;
   readonly workers: number;
+  /** Processing capacities of the entries in cores; else all have one. */
+  readonly capacities?: readonly number[];
 }
 
 const QUEUE = {
@@ -67,7 +69,7 @@
   readonly #desk: JobDesk;
   readonly #jobs: string[] = [];
 
-  constructor({ entries, workers }: EntryWorldOptions) {
+  constructor({ entries, workers, capacities = [] }: EntryWorldOptions) {
     const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
     this.fleet = new TaskFleetStandin(this.clock, ids);
     this.#desk = new JobDesk({
@@ -79,7 +81,9 @@
       checks: [],
       writes: ids.map((id) => ({ key: `workers/${id}`, value: id })),
     });
-    for (let index = 0; index < entries; index += 1) this.#addEntry(index);
+    for (let index = 0; index < entries; index += 1) {
+      this.#addEntry(index, capacities[index] ?? 1);
+    }
   }
 
   /** The entry that leads; undefined while none does. */
@@ -157,7 +161,7 @@
     return this.fleet.history.filter((record) => record.end === end).length;
   }
 
-  #addEntry(index: number): void {
+  #addEntry(index: number, capacity: number): void {
     const name = `e${index}`;
     const clock = new ProcessClock(this.clock);
     const journal = createJournal("test", "fatal");
@@ -174,7 +178,9 @@
       restoreMs: RESTORE_MS,
       member: name,
       instance: name,
-      spread: index,
+      capacity,
+      // Whoever comes first by number is the quickest.
+      spread: index / (index + 1),
       isFit: () => true,
     });
     const over = new AbortController();
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -305,6 +305,22 @@
       fallback: "500",
       help: "Time that a task takes to resume from its checkpoint.",
     },
+    {
+      key: "processor_share",
+      kind: FieldKind.Decimal,
+      min: 0.01,
+      max: 1024,
+      fallback: "1",
+      help: "Share of its processor that this process may use.",
+    },
+    {
+      key: "processor_speed",
+      kind: FieldKind.Decimal,
+      min: 0.01,
+      max: 1024,
+      fallback: "1",
+      help: "Speed of its processor, in cores; larger VMs are preferred to lead.",
+    },
     {
       key: "shutdown_ms",
       kind: FieldKind.Integer,
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -3,7 +3,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { Job } from "./job";
 import type { JobState } from "./job_state";
-import type { Leadership } from "./leadership_row";
+import type { Bid, Leadership } from "./leadership_row";
 import type { LearntPressures } from "./pressure_model";
 
 /** Prefixes of the rows that the system keeps. */
@@ -25,6 +25,9 @@
 /** Key of what leaders have learnt; it may be missing or old. */
 export const LEARNT_KEY = `${RowPrefix.Leader}learnt`;
 
+/** Key of the last bid for leadership. */
+export const BID_KEY = `${RowPrefix.Leader}bid`;
+
 /** Key of the workers that may hold a lease of a leader. */
 export const ROSTER_KEY = `${RowPrefix.Leader}roster`;
 
@@ -82,6 +85,11 @@
   return parse<Leadership>(row.value, "epoch");
 }
 
+/** Reads a bid for leadership; `Malformed` when it is none. */
+export function readBid(row: Pick<Row, "value">): Result<Bid, Fault> {
+  return parse<Bid>(row.value, "capacity");
+}
+
 /** Addresses of the workers that may hold a lease, by id. */
 export type Roster = Readonly<Record<string, string>>;
 
--- a/packages/leader/src/leadership.ts
+++ b/packages/leader/src/leadership.ts
@@ -2,12 +2,15 @@
 import { LEADER_KEY, readLeadership } from "@laburnumtrack/jobs/job_rows";
 import type { Leadership as LeadershipRow } from "@laburnumtrack/jobs/leadership_row";
 import { type HeldLeadership, toWrite } from "./progress_log";
+import { Succession } from "./succession";
 import { Term, type TermOptions, type TermStart } from "./term";
 
 /** How a candidate is set up. */
-export interface LeadershipOptions extends TermOptions {
+export interface LeadershipOptions extends Omit<TermOptions, "succession"> {
   readonly member: string;
   readonly instance: string;
+  /** Processing capacity of this VM in cores. */
+  readonly capacity: number;
   /** A part from 0 to 1 that spreads the candidates' patience. */
   readonly spread: number;
   /** Whether this process may lead: it has a configuration and stays. */
@@ -33,6 +36,7 @@
 /** Follows the leading scheduler, and replaces it when it is silent. */
 export class Leadership {
   readonly #options: LeadershipOptions;
+  readonly #succession: Succession;
   #term: Term | undefined;
   #view: LeaderView | undefined;
   #revision = 0;
@@ -42,6 +46,7 @@
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
+    this.#succession = new Succession(options);
     this.#changedMs = options.clock.nowMs();
   }
 
@@ -64,13 +69,16 @@
       if (isRead && isFit() && this.#isVacant() && !signal.aborted) {
         const start = await this.#acquire();
         if (start !== undefined) await this.#lead(start, signal);
+      } else if (isRead && isFit() && this.#view !== undefined) {
+        await this.#succession.bid(this.#view.row);
       }
       await clock.sleep(POLL_MS, signal);
     }
   }
 
   async #lead(start: TermStart, signal: AbortSignal): Promise<void> {
-    this.#term = new Term(this.#options, start);
+    const succession = this.#succession;
+    this.#term = new Term({ ...this.#options, succession }, start);
     await this.#term.run(signal);
     this.#view = { row: this.#term.row, readMs: this.#options.clock.nowMs() };
     this.#term = undefined;
@@ -109,12 +117,14 @@
   }
 
   #isVacant(): boolean {
-    if (this.#revision === 0 || this.#view?.row.isReleased) return true;
-    if (this.#isOwnFormerLife()) return true;
+    if (this.#revision === 0 || this.#isOwnFormerLife()) return true;
     const { clock, spread } = this.#options;
+    const silentMs = clock.nowMs() - this.#changedMs;
+    const yieldMs = this.#succession.patienceMs(this.#view?.row);
+    if (this.#view?.row.isReleased) return silentMs >= yieldMs;
     const patienceMs =
       PATIENCE_MS + spread * SPREAD_MS + SLOW_TABLE_FACTOR * this.#answerMs;
-    return clock.nowMs() - this.#changedMs > patienceMs;
+    return silentMs > patienceMs + yieldMs;
   }
 
   /** An earlier life of this process leads: it has ended. */
@@ -125,11 +135,13 @@
   }
 
   async #acquire(): Promise<TermStart | undefined> {
-    const { clock, table, member, instance, journal } = this.#options;
+    const { clock, table, member, instance, capacity, journal } = this.#options;
     const former = this.#revision === 0 ? undefined : this.#view?.row;
     const row: LeadershipRow = {
       holder: member,
       instance,
+      capacity,
+      successor: "",
       epoch: (former?.epoch ?? 0) + 1,
       sequence: (former?.sequence ?? 0) + 1,
       isReleased: false,
--- a/packages/leader/src/progress_log.ts
+++ b/packages/leader/src/progress_log.ts
@@ -40,6 +40,13 @@
   readonly onFinalStored: (record: JobRecord) => void;
 }
 
+/** What a commit says of the leadership. */
+export interface CommitEnd {
+  readonly isReleased: boolean;
+  /** Instance that takes over; empty: any may. */
+  readonly successor: string;
+}
+
 /** Pause between two commits in which changes are gathered, in ms. */
 const GATHER_MS = 30;
 /** Longest time without a commit, in ms: followers wait for three. */
@@ -119,7 +126,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     while (!signal.aborted && !this.#isLost) {
-      const isStored = await this.commit({ isReleased: false });
+      const isStored = await this.commit({ isReleased: false, successor: "" });
       const hasMore = this.#dirty.size >= JOBS_PER_COMMIT;
       await clock.sleep(isStored ? GATHER_MS : RETRY_MS, signal);
       if (isStored && !hasMore && this.#dirty.size === 0) {
@@ -128,8 +135,8 @@
     }
   }
 
-  /** Commits once; `isReleased` ends the leadership. */
-  async commit({ isReleased }: { isReleased: boolean }): Promise<boolean> {
+  /** Commits once; `isReleased` ends the leadership, for `successor` if any. */
+  async commit({ isReleased, successor }: CommitEnd): Promise<boolean> {
     const { clock, table, metrics } = this.#options;
     const batch = [...this.#dirty.values()].slice(0, JOBS_PER_COMMIT);
     const isWhole = batch.length === this.#dirty.size;
@@ -139,8 +146,12 @@
       ...this.#held.row,
       sequence: this.#held.row.sequence + 1,
       isReleased,
+      successor,
       silent: this.#listSilent(),
-      pending: this.#options.pending(),
+      // Before the jobs are read, the former leader's word counts.
+      pending: this.#isLoaded
+        ? this.#options.pending()
+        : this.#held.row.pending,
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
     const workers = this.#isLoaded ? [...this.#options.workers()] : [];
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -17,6 +17,7 @@
 import { type HeldLeadership, ProgressLog } from "./progress_log";
 import { RowCloser } from "./row_closer";
 import { RunWatch } from "./run_watch";
+import type { Succession } from "./succession";
 import { TaskSet } from "./task_set";
 import { WorkerGroup } from "./worker_group";
 import { surelyLapsedMs } from "./worker_link";
@@ -37,6 +38,7 @@
   readonly rightMs: number;
   /** Time that a task takes to resume from its checkpoint, in ms. */
   readonly restoreMs: number;
+  readonly succession: Succession;
 }
 
 /** The leadership that a term starts with. */
@@ -87,6 +89,8 @@
   readonly #over = new AbortController();
   #isSettled = false;
   #isFenced = false;
+  /** Instance that it hands over to; empty while it goes on. */
+  #successor = "";
 
   constructor(options: TermOptions, start: TermStart) {
     this.#options = options;
@@ -156,6 +160,7 @@
       });
       this.#tasks.add(this.#intake.follower.run(over));
       this.#tasks.add(this.#workers.follower.run(over));
+      this.#tasks.add(this.#awaitSuccessor(over));
       await this.#planUntilOver();
     }
     this.#over.abort();
@@ -163,7 +168,8 @@
     this.#log.wake();
     await this.#tasks.drain();
     signal.removeEventListener("abort", onAbort);
-    if (signal.aborted && !this.#isLost) await this.#release();
+    const isOrderly = signal.aborted || this.#successor !== "";
+    if (isOrderly && !this.#isLost) await this.#release();
     journal.info("Not leading any more.", { epoch, isLost: this.#isLost });
   }
 
@@ -266,12 +272,25 @@
     return !this.#over.signal.aborted && !this.#isLost;
   }
 
+  /** Ends the term when a VM that is better suited asks for it. */
+  async #awaitSuccessor(signal: AbortSignal): Promise<void> {
+    const { epoch } = this.#start.held.row;
+    const bid = await this.#options.succession.findSuccessor(epoch, signal);
+    if (bid === undefined || signal.aborted) return;
+    this.#successor = bid.instance;
+    this.#over.abort();
+    this.#plan.set();
+  }
+
   async #release(): Promise<void> {
     const { clock, journal } = this.#options;
     let isReleased = false;
     for (let tries = 0; tries < RELEASE_TRIES && !isReleased; tries += 1) {
       if (tries > 0) await clock.sleep(LOAD_RETRY_MS);
-      isReleased = await this.#log.commit({ isReleased: true });
+      isReleased = await this.#log.commit({
+        isReleased: true,
+        successor: this.#successor,
+      });
     }
     journal.info("Leadership handed back.", { isReleased });
   }
