feat(jobs): what can still make its objective goes before what cannot

Ruled out: the share of the leader's processor and its open starts (500 starts a second is what the jobs asked for).

Change: among equal priorities, jobs whose remaining chain cannot end in time come last.

--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -103,6 +103,41 @@
     ],
     starts: ["b.0.0.0 w"],
   },
+  {
+    name: "in an overload what can still make its objective goes first",
+    workers: [["w"]],
+    wallMs: 6000,
+    jobs: [
+      { id: "a", steps: [{ resources: ALL_CORES, estimateMs: 4000 }] },
+      {
+        id: "b",
+        steps: [{ resources: ALL_CORES, estimateMs: 4000 }],
+        submittedMs: 5500,
+      },
+    ],
+    starts: ["b.0.0.0 w"],
+  },
+  {
+    name: "a step under way may make its objective yet",
+    workers: [["w"]],
+    wallMs: 8000,
+    jobs: [
+      {
+        id: "a",
+        steps: [
+          { estimateMs: 4000, resources: HALF, count: 2 },
+          { estimateMs: 500, resources: HALF, after: [0] },
+        ],
+        done: 2,
+      },
+      {
+        id: "b",
+        steps: [{ resources: ALL_CORES, estimateMs: 4000 }],
+        submittedMs: 7500,
+      },
+    ],
+    starts: ["a.0.1.0 w"],
+  },
   {
     name: "a task that fits nowhere does not hold up others",
     workers: [["w"]],
