test: a lost leader's jobs, a roster read early; mutations for the new mechanisms

A script that takes mechanisms out showed two that no test noticed: the roster (its case had relied on a slow release) and the wait for a lost leader's right. The first case acts before the next leader reads now; the second is new: a leader whose commits alone are refused reaches one worker, the others reach the rest.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -169,7 +169,7 @@
       clock,
       table: this.table.viewOf(name),
       registry: new RegistryStandin(),
-      port: this.fleet,
+      port: this.fleet.viewOf(name),
       journal,
       metrics: new Metrics(),
       config: () => CONFIG,
--- a/packages/faults/src/leader_cases_test.ts
+++ b/packages/faults/src/leader_cases_test.ts
@@ -83,7 +83,7 @@
     act: async (world) => {
       world.fleet.cut.add("w0");
       const stopping = world.leader?.stop();
-      await world.pass(1000);
+      // Before the next leader reads the registry.
       await world.unregister("w0");
       await world.pass(9000);
       await stopping;
@@ -306,6 +306,24 @@
   assert.deepEqual(world.findFaults(), []);
 });
 
+test("leader: a job that a lost leader may have started waits", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 2 });
+  await world.pass(2000);
+  const former = world.leader?.name;
+  assert.ok(former);
+  // The former leader reads and reaches w0, the others reach w1.
+  world.table.refusedCommits.add(former);
+  world.fleet.cutPairs.add(`${former} w1`);
+  for (const { name } of world.entries) {
+    if (name !== former) world.fleet.cutPairs.add(`${name} w0`);
+  }
+  await world.pass(2500);
+  await world.submit("00000000000000bd", "work=4000", [{ count: 1 }]);
+  await world.pass(30_000);
+  assert.deepEqual(world.findFaults(), []);
+  assert.deepEqual(await world.readPhases(), [JobPhase.Completed]);
+});
+
 test("leader: a released leadership is taken over within half a second", async () => {
   const world = new EntryWorld({ entries: 3, workers: 4 });
   await world.pass(2000);
--- a/packages/standins/src/feed_table_standin.ts
+++ b/packages/standins/src/feed_table_standin.ts
@@ -49,6 +49,8 @@
   trouble = TableTrouble.None;
   /** Callers that are turned away while others are served. */
   readonly refused = new Set<string>();
+  /** Callers whose commits alone are turned away: they still read. */
+  readonly refusedCommits = new Set<string>();
 
   constructor(clock: Clock) {
     super();
@@ -193,6 +195,9 @@
   override async commit(
     transaction: Transaction,
   ): Promise<Result<Commit, Fault>> {
+    if (this.#table.refusedCommits.has(this.#name)) {
+      return Err(new Fault(FaultCode.StoreUnavailable, this.#name));
+    }
     return await this.#pass(() => this.#table.commit(transaction));
   }
 
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -75,6 +75,8 @@
   readonly acknowledged = new Set<RunRecord>();
   /** Workers that answer nothing and carry out nothing. */
   readonly cut = new Set<string>();
+  /** Pairs of a caller and a worker that do not reach each other. */
+  readonly cutPairs = new Set<string>();
   /** Orders to these get no answer and are carried out seconds later. */
   readonly late = new Set<string>();
   /** Orders to these are carried out, their answers are lost. */
@@ -86,6 +88,11 @@
     for (const id of ids) this.#workers.set(id, this.#createWorker(id));
   }
 
+  /** The fleet as one caller reaches it. */
+  viewOf(caller: string): TaskWorker {
+    return new FleetView(this, caller, this.#clock);
+  }
+
   /** The worker loses all that it runs and knows. */
   restart(id: string): void {
     const { runs } = this.#stateOf(id);
@@ -311,3 +318,42 @@
 function fenced({ id }: WorkerTarget): Result<never, Fault> {
   return Err(new Fault(FaultCode.Fenced, id));
 }
+
+/** What one caller reaches of a fleet. */
+class FleetView extends TaskWorker {
+  readonly #fleet: TaskFleetStandin;
+  readonly #caller: string;
+  readonly #clock: Clock;
+
+  constructor(fleet: TaskFleetStandin, caller: string, clock: Clock) {
+    super();
+    this.#fleet = fleet;
+    this.#caller = caller;
+    this.#clock = clock;
+  }
+
+  override start(target: WorkerTarget, order: StartOrder) {
+    return this.#reach(target, () => this.#fleet.start(target, order));
+  }
+
+  override stop(target: WorkerTarget, order: RunOrder) {
+    return this.#reach(target, () => this.#fleet.stop(target, order));
+  }
+
+  override renew(target: WorkerTarget, order: RenewOrder) {
+    return this.#reach(target, () => this.#fleet.renew(target, order));
+  }
+
+  override pace(target: WorkerTarget) {
+    return this.#reach(target, () => this.#fleet.pace(target));
+  }
+
+  async #reach<T>(
+    { id }: WorkerTarget,
+    call: () => Promise<Result<T, Fault>>,
+  ): Promise<Result<T, Fault>> {
+    if (!this.#fleet.cutPairs.has(`${this.#caller} ${id}`)) return await call();
+    await this.#clock.sleep(TIMEOUT_MS);
+    return Err(new Fault(FaultCode.OutcomeUnknown, id));
+  }
+}
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -47,7 +47,7 @@
   {
     name: "nothing starts before all workers have answered",
     file: "packages/leader/src/term.ts",
-    from: "if (nowMs < worker.lapseMs) return false;",
+    from: "if (nowMs < worker.lapseMs) return;",
     to: "",
     test: LEADER_CASES,
   },
@@ -107,6 +107,55 @@
     to: "checks: [],",
     test: "packages/desk/src/job_desk_test.ts",
   },
+  {
+    name: "new jobs do not wait for workers that are silent",
+    file: "packages/leader/src/term.ts",
+    from: "this.#isSettled || revision > this.#findUnknownAbove(nowMs),",
+    to: "this.#isSettled || revision > Infinity,",
+    test: LEADER_CASES,
+  },
+  {
+    name: "jobs that a lost leader may know wait until its right has ended",
+    file: "packages/leader/src/term.ts",
+    from: "if (wasReleased) this.#unknownAbove = held.revision;",
+    to: "if (wasReleased || takenMs > 0) this.#unknownAbove = held.revision;",
+    test: LEADER_CASES,
+  },
+  {
+    name: "a release does not wait for orders under way",
+    file: "packages/leader/src/term.ts",
+    from: "await this.#commits.drain();",
+    to: "await this.#commits.drain();\nawait this.#tasks.drain();",
+    test: LEADER_CASES,
+  },
+  {
+    name: "jobs that wait stay counted until the jobs are read",
+    file: "packages/leader/src/progress_log.ts",
+    from: "pending: this.#isLoaded",
+    to: "pending: this.#options",
+    test: LEADER_CASES,
+  },
+  {
+    name: "a leader hands over to a VM with more processor",
+    file: "packages/leader/src/succession.ts",
+    from: "if (!isNew || found.bid.epoch !== epoch) continue;",
+    to: "if (found?.bid.epoch !== -1) continue;",
+    test: LEADER_CASES,
+  },
+  {
+    name: "what can still make its objective goes first",
+    file: "packages/jobs/src/job_order.ts",
+    from: "isMissed: isMissed(record, wallMs),",
+    to: "isMissed: false,",
+    test: "packages/jobs/src/start_planner_test.ts",
+  },
+  {
+    name: "tails are taken to go on moving",
+    file: "packages/jobs/src/pressure_relief.ts",
+    from: "if (formerFigure <= 0) return figure;",
+    to: "if (formerFigure >= 0) return figure;",
+    test: "packages/jobs/src/pressure_test.ts",
+  },
 ];
 
 /** Replaces text in sources as they are read. */
