--- a/packages/desk/src/job_desk.ts
+++ b/packages/desk/src/job_desk.ts
@@ -11,7 +11,11 @@
   readState,
   stateKey,
 } from "@laburnumtrack/jobs/job_rows";
-import { JobPhase, type JobState } from "@laburnumtrack/jobs/job_state";
+import {
+  isFinal,
+  JobPhase,
+  type JobState,
+} from "@laburnumtrack/jobs/job_state";
 import { Err, Ok, type Result } from "ts-results";
 
 /** How a desk is set up. */
@@ -78,13 +82,14 @@
   ): Promise<Result<JobPhase, Fault>> {
     return await this.#retry(deadlineMs, async () => {
       const state = await this.#readState(id);
-      if (state.err || state.val !== undefined) {
-        return state.map((found) => found?.phase ?? JobPhase.Queued);
-      }
+      if (state.err) return state;
+      const phase = state.val?.phase;
+      if (phase !== undefined && isFinal(phase)) return Ok(phase);
+      // A cancellation stands in the job's own row before a leader sees it.
       const row = await this.#readRow(id);
-      return row.map(({ value: { isCancelled } }) =>
-        isCancelled ? JobPhase.Cancelled : JobPhase.Queued,
-      );
+      if (row.ok && row.val.value.isCancelled) return Ok(JobPhase.Cancelled);
+      if (phase !== undefined) return Ok(phase);
+      return row.map(() => JobPhase.Queued);
     });
   }
 
--- a/packages/desk/src/job_desk_test.ts
+++ b/packages/desk/src/job_desk_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { FaultCode } from "@laburnumtrack/core/fault";
 import type { Job } from "@laburnumtrack/jobs/job";
+import { stateKey } from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { createStep } from "@laburnumtrack/jobs/test_samples";
 import {
@@ -56,6 +57,16 @@
     calls: [submit, cancel, readPhase],
     answer: JobPhase.Cancelled,
   },
+  {
+    name: "a running job that is cancelled, before a leader sees that",
+    calls: [submit, storeRunning, cancel, readPhase],
+    answer: JobPhase.Cancelled,
+  },
+  {
+    name: "a running job",
+    calls: [submit, storeRunning, readPhase],
+    answer: JobPhase.Running,
+  },
   {
     name: "a job is cancelled twice",
     calls: [submit, cancel, cancel],
@@ -142,6 +153,20 @@
   return outcomeOf(await desk.readPhase(JOB.id, clock.nowMs() + WAIT_MS));
 }
 
+/** What a leader stores once a task has started. */
+async function storeRunning({ table }: Stage): Promise<void> {
+  const value = JSON.stringify({
+    phase: JobPhase.Running,
+    queue: "q",
+    sinceMs: 0,
+    steps: [],
+  });
+  await table.commit({
+    checks: [],
+    writes: [{ key: stateKey(JOB.id), value }],
+  });
+}
+
 function trouble(kind: TableTrouble): (stage: Stage) => Promise<void> {
   return async ({ table }) => {
     table.trouble = kind;
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -10,15 +10,13 @@
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
-import {
-  type RunRecord,
-  TaskFleetStandin,
-} from "@laburnumtrack/standins/task_fleet_standin";
+import { TaskFleetStandin } from "@laburnumtrack/standins/task_fleet_standin";
 import {
   ProcessClock,
   VirtualClock,
 } from "@laburnumtrack/standins/virtual_clock";
 import { Ok, type Result } from "ts-results";
+import { findRunFaults } from "./run_faults";
 
 /** A process that can lead, in virtual time. */
 export interface EntryPeer {
@@ -145,15 +143,7 @@
 
   /** What broke a promise: two runs at a time, or a run after the last. */
   findFaults(): string[] {
-    const byTask = new Map<string, RunRecord[]>();
-    for (const record of this.fleet.history) {
-      const records = byTask.get(record.task);
-      if (records === undefined) byTask.set(record.task, [record]);
-      else records.push(record);
-    }
-    return [...byTask.values()].flatMap((records) =>
-      findTaskFaults(records, this.fleet.acknowledged),
-    );
+    return findRunFaults(this.fleet.history, this.fleet.acknowledged);
   }
 
   /** Runs that ended in a way. */
@@ -205,20 +195,3 @@
     return Ok(createWorkerInfo(id));
   }
 }
-
-function findTaskFaults(
-  records: readonly RunRecord[],
-  acknowledged: ReadonlySet<RunRecord>,
-): string[] {
-  const faults: string[] = [];
-  for (const [place, record] of records.entries()) {
-    for (const later of records.slice(place + 1)) {
-      const { task } = record;
-      const endMs = record.endMs ?? Number.POSITIVE_INFINITY;
-      if (later.startMs < endMs) faults.push(`${task} ran twice at a time`);
-      if (acknowledged.has(record))
-        faults.push(`${task} ran again after it was done`);
-    }
-  }
-  return faults;
-}
--- a/packages/leader/src/progress_log.ts
+++ b/packages/leader/src/progress_log.ts
@@ -68,6 +68,8 @@
   readonly #wake: Signal;
   readonly #dirty = new Map<string, JobRecord>();
   #held: HeldLeadership;
+  /** Of the last commit that was sent: no two commits share one. */
+  #sequence: number;
   #confirmedMs: number;
   /** Whether what former leaders left was read: until then it stays. */
   #isLoaded = false;
@@ -81,6 +83,7 @@
     this.#options = options;
     this.#wake = new Signal(options.clock);
     this.#held = options.held;
+    this.#sequence = options.held.row.sequence;
     this.#confirmedMs = options.heldMs;
     this.#learntMs = options.heldMs;
   }
@@ -147,9 +150,10 @@
     const isWhole = batch.length === this.#dirty.size;
     const ends = isWhole ? this.#readEnds() : [];
     for (const record of batch) this.#dirty.delete(record.job.id);
+    this.#sequence += 1;
     const row: Leadership = {
       ...this.#held.row,
-      sequence: this.#held.row.sequence + 1,
+      sequence: this.#sequence,
       isReleased,
       successor,
       silent: this.#listSilent(),
@@ -247,6 +251,8 @@
     }
     // Its own commit took effect, only the answer was lost.
     if (sequence === row.sequence) return current.revision;
+    // An earlier one did, late: what it held is old, so all is stored again.
+    this.#held = { row: found.val, revision: current.revision };
     return undefined;
   }
 
--- /dev/null
+++ b/packages/leader/src/progress_log_test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createJobRecord } from "@laburnumtrack/jobs/job_record";
+import { LEADER_KEY, readState, stateKey } from "@laburnumtrack/jobs/job_rows";
+import { JobPhase } from "@laburnumtrack/jobs/job_state";
+import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
+import { createStep } from "@laburnumtrack/jobs/test_samples";
+import { createJournal } from "@laburnumtrack/process/journal";
+import { Metrics } from "@laburnumtrack/process/metrics";
+import {
+  FeedTableStandin,
+  TableTrouble,
+} from "@laburnumtrack/standins/feed_table_standin";
+import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
+import { ProgressLog, toWrite } from "./progress_log";
+
+const ID = "00000000000000aa";
+const ROW: Leadership = {
+  holder: "e0",
+  instance: "e0",
+  capacity: 1,
+  successor: "",
+  epoch: 1,
+  sequence: 1,
+  isReleased: false,
+  silent: {},
+  pending: {},
+};
+
+const CASES: readonly {
+  readonly name: string;
+  /** Trouble of the first commit. */
+  readonly first: TableTrouble;
+  /** Time until the second one, in ms. */
+  readonly pauseMs: number;
+  /** Trouble of the second commit. */
+  readonly second: TableTrouble;
+}[] = [
+  {
+    name: "an earlier commit takes effect before the next one is sent",
+    first: TableTrouble.Late,
+    pauseMs: 3500,
+    second: TableTrouble.None,
+  },
+  {
+    name: "an earlier commit takes effect after the next one",
+    first: TableTrouble.Late,
+    pauseMs: 1500,
+    second: TableTrouble.None,
+  },
+  {
+    name: "both take effect late",
+    first: TableTrouble.Late,
+    pauseMs: 1500,
+    second: TableTrouble.Late,
+  },
+  {
+    name: "answers of both are lost",
+    first: TableTrouble.AnswerLost,
+    pauseMs: 1500,
+    second: TableTrouble.AnswerLost,
+  },
+];
+
+for (const { name, first, pauseMs, second } of CASES) {
+  test(`progress log: ${name}`, async () => {
+    const clock = new VirtualClock();
+    const table = new FeedTableStandin(clock);
+    const pass = (ms: number) => clock.run(clock.nowMs() + ms);
+    const taken = table.commit({ checks: [], writes: [toWrite(ROW)] });
+    await pass(100);
+    const { revision } = (await taken).unwrap();
+    const record = createRecord();
+    let finals = 0;
+    const log = new ProgressLog({
+      clock,
+      table,
+      journal: createJournal("test", "fatal"),
+      metrics: new Metrics(),
+      held: { row: ROW, revision },
+      heldMs: 0,
+      workers: () => [],
+      pending: () => ({}),
+      learnt: () => ({}),
+      onFinalStored: () => {
+        finals += 1;
+      },
+    });
+    const commit = async (isReleased: boolean) => {
+      const done = log.commit({ isReleased, successor: "" });
+      await pass(1400);
+      return await done;
+    };
+    record.phase = JobPhase.Running;
+    log.mark(record);
+    table.trouble = first;
+    await commit(false);
+    await pass(pauseMs - 1400);
+    record.phase = JobPhase.Completed;
+    log.mark(record);
+    table.trouble = second;
+    await commit(false);
+    table.trouble = TableTrouble.None;
+    for (let tries = 0; tries < 4 && finals === 0; tries += 1) {
+      await commit(false);
+    }
+    assert.equal(finals, 1);
+    assert.equal(log.isLost, false);
+    await pass(4000);
+    const read = table.get([stateKey(ID), LEADER_KEY]);
+    await pass(100);
+    const row = (await read).unwrap().find(({ key }) => key !== LEADER_KEY);
+    assert.ok(row);
+    assert.equal(readState(row).unwrap().phase, JobPhase.Completed);
+  });
+}
+
+function createRecord() {
+  const job = {
+    id: ID,
+    queue: "q",
+    spec: "",
+    steps: [createStep()],
+    repeat: undefined,
+    submittedMs: 0,
+  };
+  return createJobRecord(job, {
+    revision: 1,
+    queue: undefined,
+    state: undefined,
+    runFloor: 0,
+  });
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -11,6 +11,7 @@
   "laburnumtrack-scheduler": "packages/scheduler/src/scheduler_main.ts",
   demo: "packages/faults/src/demo_main.ts",
   faults: "packages/faults/src/faults_main.ts",
+  soak: "packages/soak/src/soak_main.ts",
   bench: "packages/bench/src/bench_main.ts",
 };
 
