fix(leader): jobs that were over before a term are not read as new

Cause: the new leader read a job's final state and left its row to be closed; when the table dropped its history before that, the rows were read again, the state had been used up, and the job began anew. Ruled out: late commits, old reads (refused). Change: such a job counts as ended in this term. Test: leader_cases_test, red before.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -1,6 +1,7 @@
 import type { Fault } from "@laburnumtrack/core/fault";
 import { JobDesk } from "@laburnumtrack/desk/job_desk";
 import type { Job, Step } from "@laburnumtrack/jobs/job";
+import { jobKey, openRow } from "@laburnumtrack/jobs/job_rows";
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
@@ -95,20 +96,25 @@
     spec: string,
     steps: Partial<Step>[],
   ): Promise<void> {
-    const job: Job = {
-      id,
-      queue: "q",
-      spec,
-      steps: steps.map((step) => createStep({ ...TASKS, ...step })),
-      repeat: undefined,
-      submittedMs: this.clock.wallMs(),
-    };
+    const job = this.#createJob(id, spec, steps);
     this.#jobs.push(id);
     const done = this.#desk.submit(job, this.clock.nowMs() + SUBMIT_MS);
     await this.pass(SUBMIT_MS / 10);
     void done;
   }
 
+  /** Stores jobs of one task each at once, as if handed in together. */
+  async submitTogether(count: number, spec: string): Promise<void> {
+    const writes = Array.from({ length: count }, (_, index) => {
+      const id = index.toString(16).padStart(16, "0");
+      const job = this.#createJob(id, spec, [{ count: 1 }]);
+      return { key: jobKey(id), value: openRow(job) };
+    });
+    const done = this.table.commit({ checks: [], writes });
+    await this.pass(50);
+    await done;
+  }
+
   /** Takes a worker's entry out of the registry. */
   async unregister(id: string): Promise<void> {
     const writes = [{ key: `workers/${id}`, value: null }];
@@ -151,6 +157,17 @@
     return this.fleet.history.filter((record) => record.end === end).length;
   }
 
+  #createJob(id: string, spec: string, steps: Partial<Step>[]): Job {
+    return {
+      id,
+      queue: "q",
+      spec,
+      steps: steps.map((step) => createStep({ ...TASKS, ...step })),
+      repeat: undefined,
+      submittedMs: this.clock.wallMs(),
+    };
+  }
+
   #addEntry(index: number, capacity: number): void {
     const name = `e${index}`;
     const clock = new ProcessClock(this.clock);
--- a/packages/faults/src/leader_cases_test.ts
+++ b/packages/faults/src/leader_cases_test.ts
@@ -306,6 +306,26 @@
   assert.deepEqual(world.findFaults(), []);
 });
 
+test("leader: jobs that were over before its term are not read as new", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 4 });
+  await world.pass(2000);
+  await world.submitTogether(24, "work=250");
+  await world.pass(400);
+  const former = world.leader;
+  const stopping = former?.stop();
+  while (world.leader === former || world.leader === undefined) {
+    await world.pass(10);
+  }
+  // Their rows are closed one by one; those still open are read once more.
+  for (let drop = 0; drop < 10; drop += 1) {
+    await world.pass(35);
+    world.table.dropHistory();
+  }
+  await world.pass(5000);
+  await stopping;
+  assert.deepEqual(world.findFaults(), []);
+});
+
 test("leader: a job that a lost leader may have started waits", async () => {
   const world = new EntryWorld({ entries: 3, workers: 2 });
   await world.pass(2000);
--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -42,7 +42,7 @@
   readonly #states = new Map<string, JobState>();
   /** Jobs whose end is stored and that still have attempts. */
   readonly #stored = new Set<string>();
-  /** Jobs that ended in this term. */
+  /** Jobs that ended in this term, or had before it. */
   readonly #finished = new Set<string>();
   #configVersion = 0;
 
@@ -140,6 +140,7 @@
     const state = this.#states.get(job.id);
     this.#states.delete(job.id);
     if (state !== undefined && isFinal(state.phase)) {
+      this.#finished.add(job.id);
       closer.add(job.id, revision);
       return;
     }
