--- a/packages/faults/src/leader_cases_test.ts
+++ b/packages/faults/src/leader_cases_test.ts
@@ -306,6 +306,19 @@
   assert.deepEqual(world.findFaults(), []);
 });
 
+test("leader: ends of a worker's new life are not acknowledged unseen", async () => {
+  const world = new EntryWorld({ entries: 1, workers: 1 });
+  await world.pass(2000);
+  await world.submitTogether(12, "work=100");
+  await world.pass(3000);
+  // The renewal under way is of the former life; a start meets the new one.
+  world.fleet.restart("w0");
+  await world.submit("00000000000000bb", "work=100", [{ count: 1 }]);
+  await world.pass(6000);
+  assert.deepEqual(world.findFaults(), []);
+  assert.equal(world.countEnds(RunEnd.Done), 13);
+});
+
 test("leader: jobs that were over before its term are not read as new", async () => {
   const world = new EntryWorld({ entries: 3, workers: 4 });
   await world.pass(2000);
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -141,7 +141,7 @@
     times: { sentMs: number; nowMs: number; wallMs: number },
   ): void {
     if (report.bornMs !== worker.bornMs) {
-      if (worker.bornMs !== 0) this.onLost(worker);
+      if (worker.bornMs !== 0) this.#onOtherLife(worker, times.sentMs);
       worker.bornMs = report.bornMs;
     }
     worker.hasReported ||= !report.hasMore;
@@ -168,6 +168,22 @@
   /** Nothing that was started on the worker runs any more. */
   onLost(worker: WorkerRecord): void {
     for (const attempt of [...worker.attempts]) this.#detach(attempt);
+    this.#forgetEnds(worker);
+  }
+
+  /**
+   * Another life of the worker answers. A start that was not confirmed before
+   * it was asked may have met, or yet meet, the new life: it stays counted.
+   */
+  #onOtherLife(worker: WorkerRecord, sentMs: number): void {
+    for (const attempt of [...worker.attempts]) {
+      const confirmedMs = attempt.confirmedMs ?? Number.POSITIVE_INFINITY;
+      if (confirmedMs < sentMs) this.#detach(attempt);
+    }
+    this.#forgetEnds(worker);
+  }
+
+  #forgetEnds(worker: WorkerRecord): void {
     worker.lastEnd = 0;
     worker.storedEnd = 0;
     worker.orphans = [];
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -114,6 +114,18 @@
       assert.equal(taskOf(record).attempts.length, 0);
     },
   },
+  {
+    name: "a start on its way when another life answers may run there",
+    act: ({ board, add, report }) => {
+      const record = add([{}]);
+      report({}, { sentMs: 0 });
+      board.onSent(taskOf(record), 1, workerOf(board), 15);
+      report({ bornMs: 2 }, { sentMs: 18 });
+      assert.equal(taskOf(record).attempts.length, 1);
+      report({ bornMs: 2, running: [running(1)] }, { sentMs: 40 });
+      assert.equal(taskOf(record).attempts.length, 1);
+    },
+  },
   {
     name: "a run that is reported is adopted",
     act: ({ board, add, report }) => {
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -51,6 +51,8 @@
 /** A worker's clock may be slow by 2%; the rest allows for the way. */
 const LAPSE_FACTOR = 1.05;
 const LAPSE_SLACK_MS = 200;
+/** A clock this far behind its estimate may be that of a new life, in ms. */
+const CLOCK_BACK_MS = 500;
 /** Pause of a worker that had no room or was not well, in ms. */
 const ASIDE_MS = 300;
 
@@ -65,6 +67,13 @@
   readonly #options: LinkOptions;
   readonly #clock = new WorkerClock();
   readonly #stops = new Set<string>();
+  /**
+   * Monotonic ms of the last sign that another life of the worker may answer:
+   * its ends are counted anew, and none of them has been seen.
+   */
+  #doubtMs = Number.NEGATIVE_INFINITY;
+  /** Monotonic ms at which the last answered renewal was sent. */
+  #heardMs = Number.NEGATIVE_INFINITY;
 
   constructor(worker: WorkerRecord, options: LinkOptions) {
     this.worker = worker;
@@ -189,16 +198,18 @@
     const isQuick = leaseUntilMs === undefined;
     const reply = await port.renew(worker.info, {
       epoch,
-      acknowledged: worker.storedEnd,
+      acknowledged: this.#heardMs > this.#doubtMs ? worker.storedEnd : 0,
       leaseUntilMs,
       waitMs: isQuick ? 0 : this.#waitMs,
     });
     if (signal.aborted) return false;
     metrics.count("renewals");
     if (reply.err) {
+      this.#doubtMs = clock.nowMs();
       this.#onSilent(reply.val);
       return false;
     }
+    this.#heardMs = sentMs;
     this.#onReport(reply.val, sentMs);
     return true;
   }
@@ -265,7 +276,11 @@
   ): void {
     const { clock, board, journal, onNews, metrics } = this.#options;
     const nowMs = clock.nowMs();
-    if (clockMs !== undefined) this.#clock.onReading(clockMs, nowMs);
+    if (clockMs !== undefined) {
+      const expectedMs = this.#clock.estimate(nowMs) ?? clockMs;
+      if (clockMs < expectedMs - CLOCK_BACK_MS) this.#doubtMs = nowMs;
+      this.#clock.onReading(clockMs, nowMs);
+    }
     if (verdict === StartVerdict.Started) {
       metrics.count("starts");
       board.onStarted(attempt, nowMs);
