--- a/packages/jobs/src/pressure_samples.ts
+++ b/packages/jobs/src/pressure_samples.ts
@@ -6,7 +6,7 @@
 const TAIL_LAG_MS = 300;
 /** Time over which a serving task's own load counts as steady, in ms. */
 const STEADY_MS = 1200;
-/** What shares below this change cannot be told from noise. */
+/** Shares, and changes of shares, below this are noise. */
 const LEAST_SHARE = 0.0005;
 
 /** A departure from what a serving task and its fillers did just before. */
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -68,8 +68,9 @@
   readonly #clock = new WorkerClock();
   readonly #stops = new Set<string>();
   /**
-   * Monotonic ms of the last sign that another life of the worker may answer:
-   * its ends are counted anew, and none of them has been seen.
+   * Monotonic ms of the last sign that the worker may have started anew. A new
+   * life counts its ends from 1: acknowledging by the former life's numbers
+   * would drop ends that nobody has seen.
    */
   #doubtMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms at which the last answered renewal was sent. */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -8,6 +8,7 @@
 
 const OUT = "dist/mutations";
 const LEADER_CASES = "packages/faults/src/leader_cases_test.ts";
+const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
 const MUTATIONS = [
@@ -133,14 +134,14 @@
     file: "packages/leader/src/progress_log.ts",
     from: "pending: this.#isLoaded",
     to: "pending: this.#options",
-    test: LEADER_CASES,
+    test: SUCCESSION_CASES,
   },
   {
     name: "a leader hands over to a VM with more processor",
     file: "packages/leader/src/succession.ts",
     from: "if (!isNew || found.bid.epoch !== epoch) continue;",
     to: "if (found?.bid.epoch !== -1) continue;",
-    test: LEADER_CASES,
+    test: SUCCESSION_CASES,
   },
   {
     name: "what can still make its objective goes first",
