feat(leader): log why tasks are not started, and for how long

The leader now logs, once a second for each reason, the tasks that have waited longest, and records all delays as the metric task_start_delay_ms. The volume is bounded: a line a second for each of six reasons, five tasks each.

--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -5,6 +5,7 @@
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import type { DelayOptions } from "@laburnumtrack/jobs/start_delay";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt } from "@laburnumtrack/jobs/task";
 import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
@@ -18,6 +19,7 @@
 import { type HeldLeadership, ProgressStore } from "./progress_store";
 import { RowCloser } from "./row_closer";
 import { RunMonitor } from "./run_monitor";
+import { StartDelayLog } from "./start_delay_log";
 import type { Succession } from "./succession";
 import { WorkerGroup } from "./worker_group";
 import { latestExpiryMs } from "./worker_link";
@@ -101,6 +103,7 @@
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
+  readonly #startDelayLog: StartDelayLog;
   readonly #planSignal: Signal;
   readonly #background: BackgroundTasks;
   /** The release waits for these, but not for the other background tasks. */
@@ -153,6 +156,11 @@
       onPauseDetected: (pausedMs) => this.#onPauseDetected(pausedMs),
     });
     this.#workers = this.#createWorkers();
+    this.#startDelayLog = new StartDelayLog({
+      ...options,
+      board: this.#board,
+      planning: () => this.#planningState(),
+    });
   }
 
   /** The leadership row as last written. */
@@ -217,6 +225,7 @@
     this.#background.add(this.#intake.follower.run(termSignal));
     this.#background.add(this.#workers.follower.run(termSignal));
     this.#background.add(this.#awaitSuccessor(termSignal));
+    this.#background.add(this.#startDelayLog.run(termSignal));
     await this.#planUntilOver();
   }
 
@@ -374,7 +383,6 @@
   }
 
   #planOnce(): void {
-    const { clock } = this.#options;
     this.#intake.removeFinished();
     this.#workers.removeDeparted({ isSettled: this.#isSettled });
     this.#intake.applyConfig();
@@ -384,21 +392,29 @@
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
     const limit = maxUnanswered - this.#workers.unansweredStarts;
     if (limit <= 0) return;
-    const nowMs = clock.nowMs();
     const starts = planStarts(this.#board, {
-      nowMs,
-      wallMs: clock.wallMs(),
+      ...this.#planningState(),
       limit,
       model: this.#runMonitor.model,
-      isUsable: (worker) => this.#isUsable(worker, nowMs),
-      areRunsKnown: ({ revision }) =>
-        this.#isSettled || revision > this.#findNewJobsAbove(nowMs),
     });
     if (starts.length === 0) return;
     this.#logStarts(starts);
     for (const attempt of starts) this.#workers.sendStart(attempt);
   }
 
+  /** Which workers and jobs may be planned now. */
+  #planningState(): DelayOptions {
+    const { clock } = this.#options;
+    const nowMs = clock.nowMs();
+    return {
+      nowMs,
+      wallMs: clock.wallMs(),
+      isUsable: (worker) => this.#isUsable(worker, nowMs),
+      areRunsKnown: ({ revision }) =>
+        this.#isSettled || revision > this.#findNewJobsAbove(nowMs),
+    };
+  }
+
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
     return (
       worker.isRegistered &&
