test(leader): long-running tasks without a run after workers have gone

Callers see tasks of long-running jobs down for more than the 9 s that calm times allow. Shown in virtual time: eight of ten workers are replaced, or crash, 0.7 s apart, under one leader or while entries restart each 2 s, with leases of 6 s and 10 s.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -34,6 +34,8 @@
   readonly workers: number;
   /** Processing capacities of the entries in cores; one core by default. */
   readonly capacities?: readonly number[];
+  /** Longest lease of a worker in ms; 6 s by default. */
+  readonly leaseMs?: number;
 }
 
 const QUEUE = {
@@ -52,7 +54,7 @@
   queues: [QUEUE],
   pools: [{ name: "pool", isGuarded: true, isStandby: false }],
 };
-const LEASE_MS = 6000;
+const DEFAULT_LEASE_MS = 6000;
 /** How long the leader may send orders after its last commit. */
 const RIGHT_MS = 8000;
 const RESTORE_MS = 100;
@@ -69,10 +71,18 @@
   readonly entries: EntryPeer[] = [];
   readonly #desk: JobService;
   readonly #jobIds: string[] = [];
+  readonly #leaseMs: number;
+  #processCount = 0;
 
-  constructor({ entries, workers, capacities = [] }: EntryWorldOptions) {
+  constructor({
+    entries,
+    workers,
+    capacities = [],
+    leaseMs = DEFAULT_LEASE_MS,
+  }: EntryWorldOptions) {
     const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
-    this.fleet = new TaskFleetStandin(this.clock, ids);
+    this.#leaseMs = leaseMs;
+    this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
       table: this.table,
@@ -83,7 +93,7 @@
       writes: ids.map((id) => ({ key: `workers/${id}`, value: id })),
     });
     for (let index = 0; index < entries; index += 1) {
-      this.#addEntry(index, capacities[index] ?? 1);
+      this.#addEntry(`e${index}`, index, capacities[index] ?? 1);
     }
   }
 
@@ -117,6 +127,30 @@
     await done;
   }
 
+  /** Adds a worker; resolves once it is registered. */
+  async addWorker(id: string): Promise<void> {
+    this.fleet.add(id);
+    await this.#commitRow(`workers/${id}`, id);
+  }
+
+  /** Announces that a worker will leave; resolves once that is registered. */
+  async drainWorker(id: string): Promise<void> {
+    await this.#commitRow(`workers/${id}`, DRAINING);
+  }
+
+  /** Ends a worker for good; resolves once its registration is removed. */
+  async removeWorker(id: string): Promise<void> {
+    this.fleet.leave(id);
+    await this.#commitRow(`workers/${id}`, null);
+  }
+
+  /** Starts a new process of a member whose former process was stopped. */
+  restartEntry(former: EntryPeer): void {
+    const index = this.entries.indexOf(former);
+    this.entries.splice(index, 1);
+    this.#addEntry(former.name, index, 1);
+  }
+
   /** Removes a worker from the registry. */
   async unregister(id: string): Promise<void> {
     await this.writeRow(`workers/${id}`, null);
@@ -124,7 +158,7 @@
 
   /** Writes a row of the table, or deletes it if the value is null. */
   async writeRow(key: string, value: string | null): Promise<void> {
-    const done = this.table.commit({ checks: [], writes: [{ key, value }] });
+    const done = this.#commitRow(key, value);
     await this.advance(50);
     await done;
   }
@@ -166,6 +200,10 @@
     return this.fleet.history.filter((record) => record.end === end).length;
   }
 
+  async #commitRow(key: string, value: string | null): Promise<void> {
+    await this.table.commit({ checks: [], writes: [{ key, value }] });
+  }
+
   #createJob(id: string, spec: string, steps: Partial<Step>[]): Job {
     return {
       id,
@@ -177,8 +215,8 @@
     };
   }
 
-  #addEntry(index: number, capacity: number): void {
-    const name = `e${index}`;
+  #addEntry(name: string, index: number, capacity: number): void {
+    this.#processCount += 1;
     const clock = new ProcessClock(this.clock);
     const journal = createJournal("test", "fatal");
     const leadership = new LeaderElection({
@@ -189,11 +227,11 @@
       journal,
       metrics: new Metrics(),
       config: () => CONFIG,
-      leaseMs: LEASE_MS,
+      leaseMs: this.#leaseMs,
       leaderLeaseMs: RIGHT_MS,
       restoreMs: RESTORE_MS,
       member: name,
-      instance: name,
+      instance: `${name}/${this.#processCount}`,
       capacity,
       // The lower an entry's index, the sooner it tries to become leader.
       timeoutJitter: index / (index + 1),
@@ -201,7 +239,7 @@
     });
     const abort = new AbortController();
     const running = leadership.run(abort.signal);
-    this.entries.push({
+    this.entries.splice(index, 0, {
       name,
       clock,
       leadership,
@@ -213,11 +251,14 @@
   }
 }
 
+/** Value of the row of a worker that drains. */
+const DRAINING = "draining";
+
 /** Registry of identical workers in one pool. */
 class RegistryStandin extends WorkerRegistry {
   override readonly prefix = "workers/";
 
-  override decode(id: string): Result<RegisteredWorker, Fault> {
-    return Ok(createWorkerInfo(id));
+  override decode(id: string, value: string): Result<RegisteredWorker, Fault> {
+    return Ok(createWorkerInfo(id, { isDraining: value === DRAINING }));
   }
 }
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -69,8 +69,8 @@
 const TIMEOUT_MS = 600;
 /** Delay after which a late order is executed, in ms. */
 const LATE_ORDER_DELAY_MS = 4000;
-/** Longest lease that a worker accepts, in ms. */
-const MAX_LEASE_MS = 6000;
+/** Longest lease that a worker accepts by default, in ms. */
+const DEFAULT_MAX_LEASE_MS = 6000;
 const POLL_INTERVAL_MS = 20;
 
 /**
@@ -80,6 +80,7 @@
 export class TaskFleetStandin extends TaskWorker {
   readonly #clock: Clock;
   readonly #workers = new Map<string, WorkerState>();
+  readonly #maxLeaseMs: number;
   /** All runs that were started. */
   readonly history: RunRecord[] = [];
   /** Completed runs that were acknowledged with no lease expiry since their end. */
@@ -93,9 +94,15 @@
   /** Workers on which calls take effect, but whose answers are lost. */
   readonly answersLost = new Set<string>();
 
-  constructor(clock: Clock, ids: readonly string[]) {
+  /** Workers accept leases of at most `maxLeaseMs`. */
+  constructor(
+    clock: Clock,
+    ids: readonly string[],
+    { maxLeaseMs = DEFAULT_MAX_LEASE_MS } = {},
+  ) {
     super();
     this.#clock = clock;
+    this.#maxLeaseMs = maxLeaseMs;
     for (const id of ids) this.#workers.set(id, this.#createWorker(id));
   }
 
@@ -106,10 +113,25 @@
 
   /** Restarts a worker, which loses its runs and all its state. */
   restart(id: string): void {
+    this.#loseRuns(id);
+    this.#workers.set(id, this.#createWorker(id));
+  }
+
+  /** Adds a worker. */
+  add(id: string): void {
+    this.#workers.set(id, this.#createWorker(id));
+  }
+
+  /** Ends a worker for good: its runs are lost, and calls to it time out. */
+  leave(id: string): void {
+    this.#loseRuns(id);
+    this.unreachable.add(id);
+  }
+
+  #loseRuns(id: string): void {
     const { runs } = this.#stateOf(id);
     for (const { record } of runs.values()) record.endMs = this.#clock.nowMs();
     runs.clear();
-    this.#workers.set(id, this.#createWorker(id));
   }
 
   override async start(
@@ -272,7 +294,8 @@
 
   #extendLease(worker: WorkerState, leaseUntilMs: number | undefined): void {
     if (leaseUntilMs === undefined) return;
-    const maxLeaseUntilMs = this.#clock.nowMs() - worker.bornMs + MAX_LEASE_MS;
+    const clockMs = this.#clock.nowMs() - worker.bornMs;
+    const maxLeaseUntilMs = clockMs + this.#maxLeaseMs;
     const limited = Math.min(leaseUntilMs, maxLeaseUntilMs);
     worker.leaseUntilMs = Math.max(worker.leaseUntilMs, limited);
   }
