fix(leader): long-running tasks move off workers that announce to leave

Cause: the class of fault is a known end that is not acted upon. A draining worker got no new tasks, but what ran there stayed until it left 6 s later, and the end of a run that ends with its worker is known only once the worker's lease has expired.

Now the leader stops long-running tasks on a leaving worker, and tasks with checkpoints that would not end in time, and starts them elsewhere as soon as their end is reported. So room is reserved for a long-running task before it moves, and held back from others; long-running tasks that are down start before other jobs.

--- /dev/null
+++ b/packages/jobs/src/evacuation_test.ts
@@ -0,0 +1,238 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planEvacuation } from "./evacuation";
+import { InterferenceModel } from "./interference_model";
+import type { Step } from "./job";
+import { JobBoard } from "./job_board";
+import { reserveRoom } from "./reservations";
+import { planStarts } from "./start_planner";
+import { type Attempt, AttemptPhase, type Task } from "./task";
+import { createStep, createWorkerInfo } from "./test_samples";
+import type { WorkerRecord } from "./worker_record";
+
+interface Case {
+  readonly name: string;
+  readonly step: Partial<Step>;
+  /** Number of the other workers; each has room for one task. */
+  readonly places: number;
+  /** Indices of the tasks that are moved. */
+  readonly moved: readonly number[];
+  /** Changes the situation before the plan. */
+  readonly prepare?: (situation: Situation) => void;
+}
+
+interface Situation {
+  readonly leaving: WorkerRecord;
+  readonly others: readonly WorkerRecord[];
+  /** Runs of all tasks of the step, on the leaving worker. */
+  readonly attempts: readonly Attempt[];
+}
+
+const NOW_MS = 10_000;
+/** Time for which the leaving worker surely stays, in ms. */
+const TIME_LEFT_MS = 2000;
+const ALL_CORES = { cpuMilli: 16_000, memoryMb: 1000, accelerators: 0 };
+const LONG_RUNNING = { isLongRunning: true, resources: ALL_CORES };
+const CHECKPOINTING = { isCheckpointing: true, estimateMs: 8000 };
+
+const CASES: readonly Case[] = [
+  {
+    name: "a long-running task moves at once",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [0],
+  },
+  {
+    name: "nothing moves from a worker that stays",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [],
+    prepare: ({ leaving }) => {
+      leaving.info = createWorkerInfo(leaving.id);
+    },
+  },
+  {
+    name: "nothing moves from a worker that has left the registry",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [],
+    prepare: ({ leaving }) => {
+      leaving.isRegistered = false;
+    },
+  },
+  {
+    name: "nothing moves from a worker that does not answer",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [],
+    prepare: ({ leaving }) => {
+      leaving.isSilent = true;
+    },
+  },
+  {
+    name: "a task stays while no other worker has room",
+    step: LONG_RUNNING,
+    places: 0,
+    moved: [],
+  },
+  {
+    name: "only as many tasks are on their way as workers have room",
+    step: { ...LONG_RUNNING, count: 3 },
+    places: 2,
+    moved: [0, 1],
+  },
+  {
+    name: "a task on its way keeps the room of its next worker",
+    step: { ...LONG_RUNNING, count: 2 },
+    places: 1,
+    moved: [],
+    prepare: ({ attempts, others }) => {
+      const [first] = attempts;
+      assert.ok(first);
+      reserveRoom(first.task, others, others[0]);
+      first.worker.remove(first);
+      first.task.attempts.length = 0;
+    },
+  },
+  {
+    name: "a start that is not confirmed stays",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [],
+    prepare: ({ attempts: [attempt] }) => {
+      assert.ok(attempt);
+      attempt.phase = AttemptPhase.Starting;
+    },
+  },
+  {
+    name: "a task with a checkpoint moves if it cannot end in time",
+    step: CHECKPOINTING,
+    places: 1,
+    moved: [0],
+  },
+  {
+    name: "a task with a checkpoint stays if it will end in time",
+    step: CHECKPOINTING,
+    places: 1,
+    moved: [],
+    prepare: ({ attempts: [attempt] }) => {
+      assert.ok(attempt);
+      attempt.percent = 80;
+    },
+  },
+  {
+    name: "a task without checkpoints stays",
+    step: { estimateMs: 8000 },
+    places: 1,
+    moved: [],
+  },
+  {
+    name: "a task of a gang stays",
+    step: { ...CHECKPOINTING, isGang: true },
+    places: 1,
+    moved: [],
+  },
+];
+
+for (const { name, step, places, moved, prepare } of CASES) {
+  // Guards against tasks that end with a worker whose leaving was announced.
+  test(`evacuation: ${name}`, () => {
+    const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+    const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+    const info = createWorkerInfo("leaving", { isDraining: true });
+    const leaving = board.addWorker(info);
+    leaving.leavesAtMs = NOW_MS + TIME_LEFT_MS;
+    const others = Array.from({ length: places }, (_, index) =>
+      board.addWorker(createWorkerInfo(`w${index}`)),
+    );
+    const attempts = startAll(board, "a", createStep(step), leaving);
+    prepare?.({ leaving, others, attempts });
+    const moves = planEvacuation(board, {
+      nowMs: NOW_MS,
+      wallMs: NOW_MS,
+      model: new InterferenceModel(),
+      isUsable: ({ info: { isDraining } }) => !isDraining,
+    });
+    assert.deepEqual(
+      moves.map(({ task }) => task.index),
+      moved,
+    );
+  });
+}
+
+// Guards against long-running tasks that stay on a leaving worker, as shorter
+// tasks take all the room that becomes free.
+test("evacuation: room is held back for a long-running task until it is enough", () => {
+  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+  const info = createWorkerInfo("leaving", { isDraining: true });
+  const leaving = board.addWorker(info);
+  const other = board.addWorker(createWorkerInfo("w0"));
+  const quarter = { ...ALL_CORES, cpuMilli: 4000 };
+  const short = createStep({ count: 5, resources: quarter });
+  const half = { ...ALL_CORES, cpuMilli: 8000 };
+  startAll(
+    board,
+    "a",
+    createStep({ ...LONG_RUNNING, resources: half }),
+    leaving,
+  );
+  const options = {
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    limit: 100,
+    model: new InterferenceModel(),
+    isUsable: ({ info: { isDraining } }: WorkerRecord) => !isDraining,
+    areRunsKnown: () => true,
+  };
+  addJob(board, "b", short);
+  const shorts = planStarts(board, options);
+  assert.equal(shorts.length, 4);
+  assert.deepEqual(planEvacuation(board, options), []);
+  const moved = shorts.slice(0, 2).map((attempt, index) => {
+    other.remove(attempt);
+    attempt.task.attempts.length = 0;
+    attempt.task.isDone = true;
+    assert.deepEqual(planStarts(board, options), [], `after ${index}`);
+    return planEvacuation(board, options).length;
+  });
+  assert.deepEqual(moved, [0, 1]);
+});
+
+/** Adds a job with the step, all of whose tasks run on the worker. */
+function startAll(
+  board: JobBoard,
+  id: string,
+  step: Step,
+  worker: WorkerRecord,
+): Attempt[] {
+  return addJob(board, id, step).map((task) => {
+    const attempt = board.onSent(task, 1, worker, 0);
+    board.onStarted(attempt, 0);
+    return attempt;
+  });
+}
+
+function addJob(board: JobBoard, id: string, step: Step): Task[] {
+  const job = {
+    id,
+    queue: "q",
+    spec: "",
+    steps: [step],
+    repeat: undefined,
+    submittedMs: 0,
+  };
+  const queue = {
+    name: "q",
+    host: "h",
+    pathPrefix: "/q/",
+    pool: "pool",
+    priority: 0,
+    attemptLimit: 2,
+    stretch: 2,
+    targetMs: 1000,
+    advice: undefined,
+  };
+  const record = board.addJob(job, 1, { queue, nowMs: 0, wallMs: 0 });
+  return record.occurrences[0]?.[0]?.tasks ?? [];
+}
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -1,4 +1,5 @@
 import { criticalPathMs, isLongRunning, type Job } from "./job";
+import { JobPhase } from "./job_state";
 import { isStepDone, type JobRecord, type StepRun } from "./task";
 
 /** Time within which a job should complete, in ms. */
@@ -27,6 +28,8 @@
 
 /** Sort key of a job: fields compare in order, lower values go first. */
 export interface JobRank {
+  /** It has a long-running task that was at work and is down. */
+  readonly isInterrupted: boolean;
   /** It is so late that its result has no value any more. */
   readonly isExpired: boolean;
   readonly priority: number;
@@ -41,6 +44,7 @@
   const objective = objectiveMs(record);
   const fromMs = firstMs(record.job);
   return {
+    isInterrupted: record.occurrences.flat().some(isInterrupted),
     // The result of a long-running job never expires.
     isExpired:
       !isLongRunning(record.job) && wallMs > fromMs + EXPIRY_FACTOR * objective,
@@ -50,6 +54,18 @@
   };
 }
 
+/**
+ * Whether a step of a started long-running job has tasks without a run. Whoever
+ * uses them is served by nobody meanwhile.
+ */
+export function isInterrupted({ record, step, tasks }: StepRun): boolean {
+  return (
+    record.phase === JobPhase.Running &&
+    step.isLongRunning &&
+    tasks.some(({ attempts }) => attempts.length === 0)
+  );
+}
+
 /**
  * Whether the remaining steps of a job take longer than its objective allows.
  * Such jobs rank behind those that can still meet theirs. With a strict order
@@ -74,6 +90,7 @@
 /** Compares two ranks for sorting; the more urgent one goes first. */
 export function compareRanks(a: JobRank, b: JobRank): number {
   return (
+    Number(b.isInterrupted) - Number(a.isInterrupted) ||
     Number(a.isExpired) - Number(b.isExpired) ||
     a.priority - b.priority ||
     Number(a.willMissObjective) - Number(b.willMissObjective) ||
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -101,6 +101,7 @@
     lastRun: runFloor,
     checkpoint: "",
     attempts: [],
+    reservedOn: undefined,
     notBeforeMs: Number.NEGATIVE_INFINITY,
   };
 }
--- /dev/null
+++ b/packages/jobs/src/reservations.ts
@@ -0,0 +1,87 @@
+import type { JobBoard } from "./job_board";
+import { isFinal } from "./job_state";
+import type { StepRun, Task } from "./task";
+import { countOnWorker } from "./worker_fit";
+import type { WorkerRecord } from "./worker_record";
+
+/**
+ * Reserves room for a long-running task. Where none is free, it holds back what
+ * shorter tasks leave, so that these do not take it bit by bit.
+ */
+export function reserveRoom(
+  task: Task,
+  workers: readonly WorkerRecord[],
+  free: WorkerRecord | undefined,
+): void {
+  if (task.reservedOn !== undefined) return;
+  const worker = free ?? findSoonestRoom(task.stepRun, workers);
+  if (worker === undefined) return;
+  task.reservedOn = worker;
+  worker.reserve(task);
+}
+
+/** Gives up the room that is reserved for a task, if any. */
+export function releaseRoom(task: Task): void {
+  task.reservedOn?.release(task);
+  task.reservedOn = undefined;
+}
+
+/** Whether the room that is reserved for a task is free now. */
+export function isRoomFree({ reservedOn }: Task): boolean {
+  if (reservedOn === undefined) return false;
+  const { info, cpuMilli, memoryMb, accelerators } = reservedOn;
+  return (
+    cpuMilli <= info.capacity.cpuMilli &&
+    memoryMb <= info.capacity.memoryMb &&
+    accelerators <= info.capacity.accelerators
+  );
+}
+
+/** Releases reservations that are of no use any more. */
+export function releaseUnused(
+  board: JobBoard,
+  isUsable: (worker: WorkerRecord) => boolean,
+): void {
+  for (const worker of board.workers.values()) {
+    if (worker.reservations.size === 0) continue;
+    const isKept = isUsable(worker);
+    for (const task of worker.reservations) {
+      const isSettled = task.attempts.some((one) => !one.worker.isLeaving);
+      const isOver = task.isDone || isFinal(task.stepRun.record.phase);
+      if (!isKept || isSettled || isOver) releaseRoom(task);
+    }
+  }
+}
+
+/**
+ * The worker that will have room soonest: the one that lacks least, among those
+ * whose long-running tasks and reservations leave enough.
+ */
+function findSoonestRoom(
+  stepRun: StepRun,
+  workers: readonly WorkerRecord[],
+): WorkerRecord | undefined {
+  const { step, record } = stepRun;
+  const { cpuMilli, memoryMb, accelerators } = step.resources;
+  let soonest: WorkerRecord | undefined;
+  let leastMilli = Number.POSITIVE_INFINITY;
+  for (const worker of workers) {
+    const { capacity, labels, pool } = worker.info;
+    const { requiredLabel, perWorkerLimit } = step;
+    if (pool !== record.queue?.pool) continue;
+    if (requiredLabel !== "" && !labels.includes(requiredLabel)) continue;
+    const isFull =
+      perWorkerLimit > 0 && countOnWorker(stepRun, worker) >= perWorkerLimit;
+    if (isFull) continue;
+    const lasting = worker.lastingResources();
+    const isEnough =
+      lasting.cpuMilli + cpuMilli <= capacity.cpuMilli &&
+      lasting.memoryMb + memoryMb <= capacity.memoryMb &&
+      lasting.accelerators + accelerators <= capacity.accelerators;
+    const lackMilli = worker.cpuMilli + cpuMilli - capacity.cpuMilli;
+    if (!isEnough || lackMilli >= leastMilli) continue;
+    soonest = worker;
+    leastMilli = lackMilli;
+  }
+  return soonest;
+}
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -2,10 +2,16 @@
 import type { InterferenceModel } from "./interference_model";
 import { earliestStartMsOf } from "./job";
 import type { JobBoard } from "./job_board";
-import { compareRanks, type JobRank, rankJob } from "./job_order";
+import {
+  compareRanks,
+  isInterrupted,
+  type JobRank,
+  rankJob,
+} from "./job_order";
 import { hasAttempts } from "./job_record";
 import { isFinal } from "./job_state";
 import { PlacementFailures } from "./placement_failures";
+import { isRoomFree, releaseRoom, reserveRoom } from "./reservations";
 import { StepCandidates } from "./step_candidates";
 import {
   type Attempt,
@@ -108,8 +114,13 @@
     return;
   }
   const poolName = stepRun.record.queue?.pool ?? "";
-  const candidates = createCandidates(plan);
-  if (candidates === undefined) return;
+  const hasOwnRoom = waiting.some(isRoomFree);
+  for (const task of waiting) releaseRoom(task);
+  const candidates = createCandidates(plan, hasOwnRoom);
+  if (candidates === undefined) {
+    reserveForInterrupted(plan, waiting);
+    return;
+  }
   for (const task of waiting) {
     if (plan.starts.length >= options.limit) return;
     const worker = chooseForTask(task, candidates);
@@ -119,6 +130,7 @@
         const { costLimit } = candidates;
         plan.placementFailures.add(poolName, stepRun.step, costLimit);
       }
+      reserveForInterrupted(plan, waiting);
       return;
     }
     const run = task.lastRun + 1;
@@ -128,18 +140,34 @@
   }
 }
 
-/** Scores the workers; undefined when it is known that the step does not fit. */
-function createCandidates({
-  stepRun,
-  pool,
-  placementFailures,
-  options,
-}: StepPlan): StepCandidates | undefined {
+/** Reserves room for tasks of a long-running job that were at work before. */
+function reserveForInterrupted(
+  { stepRun, pool }: StepPlan,
+  waiting: readonly Task[],
+): void {
+  if (!isInterrupted(stepRun)) return;
+  for (const task of waiting) {
+    if (task.attempts.length === 0) reserveRoom(task, pool.workers, undefined);
+  }
+}
+
+/**
+ * Scores the workers; undefined when it is known that the step does not fit.
+ * Room that was reserved for the step itself was not open to other steps.
+ */
+function createCandidates(
+  { stepRun, pool, placementFailures, options }: StepPlan,
+  hasOwnRoom: boolean,
+): StepCandidates | undefined {
   const limited = { ...options, isPoolBusy: pool.isBusy };
   const poolName = stepRun.record.queue?.pool ?? "";
   const costLimit = costLimitOf(stepRun, limited);
-  if (placementFailures.has(poolName, stepRun.step, costLimit))
-    return undefined;
+  const isKnownFailure = placementFailures.has(
+    poolName,
+    stepRun.step,
+    costLimit,
+  );
+  if (isKnownFailure && !hasOwnRoom) return undefined;
   return new StepCandidates(stepRun, pool.workers, limited);
 }
 
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -3,6 +3,7 @@
 import { InterferenceModel } from "./interference_model";
 import type { Job, Repeat, Step } from "./job";
 import { JobBoard } from "./job_board";
+import { JobPhase } from "./job_state";
 import type { Queue } from "./queue_config";
 import { planStarts } from "./start_planner";
 import type { Attempt } from "./task";
@@ -366,6 +367,32 @@
   });
 }
 
+// Guards against long-running tasks that wait behind a backlog once they are down.
+test("start planner: a long-running task that was at work goes before any other", () => {
+  const resources = ALL_CORES;
+  const board = createBoard({
+    name: "",
+    workers: [["w"]],
+    jobs: [
+      { id: "a", steps: [{ resources }], priority: 0 },
+      { id: "b", steps: [{ resources, isLongRunning: true }], priority: 2 },
+    ],
+    starts: [],
+  });
+  const record = board.jobs.get("b");
+  assert.ok(record);
+  record.phase = JobPhase.Running;
+  const starts = planStarts(board, {
+    nowMs: 0,
+    wallMs: 0,
+    limit: 100,
+    model: new InterferenceModel(),
+    isUsable: () => true,
+    areRunsKnown: () => true,
+  });
+  assert.deepEqual(starts.map(describe), ["b.0.0.0 w"]);
+});
+
 test("start planner: tasks of a gang share a run number and a checkpoint", () => {
   const board = createBoard({
     name: "",
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -60,6 +60,8 @@
   checkpoint: string;
   /** Runs that may be active. */
   readonly attempts: Attempt[];
+  /** Worker on which room is reserved for its next run; undefined if none is. */
+  reservedOn: WorkerRecord | undefined;
   /** Monotonic ms before which it must not start again. */
   notBeforeMs: number;
 }
--- a/packages/jobs/src/task_worker.ts
+++ b/packages/jobs/src/task_worker.ts
@@ -18,6 +18,11 @@
   readonly address: string;
   readonly failureDomain: string;
   readonly isDraining: boolean;
+  /**
+   * Minimum time that a draining worker stays, in ms, when it registered that;
+   * 0 if unknown.
+   */
+  readonly remainingMs: number;
   readonly capacity: Resources;
   readonly labels: readonly string[];
   /** Rack of the worker; empty if its labels name none. */
--- a/packages/jobs/src/test_samples.ts
+++ b/packages/jobs/src/test_samples.ts
@@ -35,6 +35,7 @@
     address: "10.0.0.1:1",
     failureDomain: "d",
     isDraining: false,
+    remainingMs: 0,
     capacity: { cpuMilli: 16_000, memoryMb: 64_000, accelerators: 0 },
     labels: [],
     rack: "",
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -104,10 +104,14 @@
   return score;
 }
 
-function countOnWorker(stepRun: StepRun, worker: WorkerRecord): number {
+/** Number of tasks of the step that are on the worker or have room there. */
+export function countOnWorker(stepRun: StepRun, worker: WorkerRecord): number {
   let count = 0;
   for (const { task } of worker.attempts) {
     if (task.stepRun === stepRun) count += 1;
   }
+  for (const task of worker.reservations) {
+    if (task.stepRun === stepRun) count += 1;
+  }
   return count;
 }
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -1,4 +1,5 @@
-import type { Attempt } from "./task";
+import type { Resources } from "@laburnumtrack/core/resources";
+import type { Attempt, Task } from "./task";
 import type { EndedRun, RegisteredWorker, RunningRun } from "./task_worker";
 
 /** Average fraction of its reservation that a serving task leaves unused. */
@@ -20,6 +21,11 @@
   bornMs = 0;
   /** Whether it has answered this leader. */
   hasReported = false;
+  /**
+   * Monotonic ms until which it stays for certain if it is leaving; in the past
+   * if that is not known.
+   */
+  leavesAtMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms at which its last answered renewal was sent. */
   lastReportMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms after which all granted leases have expired. */
@@ -33,6 +39,8 @@
   /** Active runs, by its last report, whose jobs are not known yet. */
   unknownRuns: RunningRun[] = [];
   readonly attempts = new Set<Attempt>();
+  /** Tasks for whose next run its resources are held back. */
+  readonly reservations = new Set<Task>();
   /** Counts the changes that affect its tasks' tail latencies. */
   changeCount = 0;
   /** Reserved CPU, in thousandths of a core. */
@@ -57,6 +65,11 @@
     this.info = info;
   }
 
+  /** Whether it has announced that it ends soon, and is still there. */
+  get isLeaving(): boolean {
+    return this.isRegistered && this.info.isDraining;
+  }
+
   /**
    * Whether it may be granted a lease. Only then does the next leader know of
    * the lease and wait for it to expire.
@@ -80,7 +93,7 @@
     const { isFiller, targetMs } = attempt.task.stepRun.step;
     if (isFiller) this.fillers.add(attempt);
     if (targetMs > 0) this.serving.add(attempt);
-    this.#addResources(attempt, 1);
+    this.#addResources(attempt.task, 1);
   }
 
   /** Removes an attempt and its resources. */
@@ -88,7 +101,33 @@
     if (!this.attempts.delete(attempt)) return;
     this.fillers.delete(attempt);
     this.serving.delete(attempt);
-    this.#addResources(attempt, -1);
+    this.#addResources(attempt.task, -1);
+  }
+
+  /** Holds back the resources of a task. */
+  reserve(task: Task): void {
+    this.reservations.add(task);
+    this.#addResources(task, 1);
+  }
+
+  /** Frees the resources that are held back for a task. */
+  release(task: Task): void {
+    if (this.reservations.delete(task)) this.#addResources(task, -1);
+  }
+
+  /** Resources that long-running tasks and reservations take. */
+  lastingResources(): Resources {
+    const lasting = [...this.attempts]
+      .map(({ task }) => task)
+      .filter(({ stepRun }) => stepRun.step.isLongRunning);
+    const sum = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
+    for (const { stepRun } of [...lasting, ...this.reservations]) {
+      const { resources, isFiller } = stepRun.step;
+      if (!isFiller) sum.cpuMilli += resources.cpuMilli;
+      sum.memoryMb += resources.memoryMb;
+      sum.accelerators += resources.accelerators;
+    }
+    return sum;
   }
 
   /** Highest end number up to which no end is deferred. */
@@ -108,9 +147,9 @@
     this.changeCount += 1;
   }
 
-  #addResources({ task }: Attempt, sign: 1 | -1): void {
+  #addResources({ stepRun }: Task, sign: 1 | -1): void {
     this.markChanged();
-    const { resources, isFiller, targetMs } = task.stepRun.step;
+    const { resources, isFiller, targetMs } = stepRun.step;
     if (isFiller) this.fillerMilli += sign * resources.cpuMilli;
     else this.cpuMilli += sign * resources.cpuMilli;
     if (targetMs > 0) this.servingMilli += sign * resources.cpuMilli;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { FeedTable } from "@laburnumtrack/core/feed_table";
 import { Signal } from "@laburnumtrack/core/signal";
+import { planEvacuation } from "@laburnumtrack/jobs/evacuation";
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
@@ -388,6 +389,7 @@
     this.#intake.applyConfig();
     if (!this.#leaderLease.isValid) return;
     this.#updateSettled();
+    this.#evacuate();
     const maxUnanswered =
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
     const limit = maxUnanswered - this.#workers.unansweredStarts;
@@ -402,6 +404,26 @@
     for (const attempt of starts) this.#workers.sendStart(attempt);
   }
 
+  /** Stops runs on workers that leave, to start their tasks elsewhere. */
+  #evacuate(): void {
+    const { journal, metrics } = this.#options;
+    const moves = planEvacuation(this.#board, {
+      ...this.#planningState(),
+      model: this.#runMonitor.model,
+    });
+    if (moves.length === 0) return;
+    metrics.count("evacuations", moves.length);
+    journal.info("Runs on leaving workers are stopped, to start elsewhere.", {
+      runs: moves.map(
+        (attempt) =>
+          `${attempt.task.stepRun.record.job.id}.${describeAttempt(attempt)}`,
+      ),
+    });
+    for (const attempt of moves) {
+      this.#board.stop(attempt, "its worker is leaving");
+    }
+  }
+
   /** Which workers and jobs may be planned now. */
   #planningState(): DelayOptions {
     const { clock } = this.#options;
@@ -483,12 +505,11 @@
 
   #logStarts(starts: readonly Attempt[]): void {
     const byJob = new Map<string, string[]>();
-    for (const { task, run, worker } of starts) {
-      const { record, occurrence, number } = task.stepRun;
-      const place = `${occurrence}.${number}.${task.index}`;
-      const text = `${place} run ${run} on ${worker.id}`;
-      const texts = byJob.get(record.job.id);
-      if (texts === undefined) byJob.set(record.job.id, [text]);
+    for (const attempt of starts) {
+      const { id } = attempt.task.stepRun.record.job;
+      const text = describeAttempt(attempt);
+      const texts = byJob.get(id);
+      if (texts === undefined) byJob.set(id, [text]);
       else texts.push(text);
     }
     for (const [job, tasks] of byJob) {
@@ -523,3 +544,9 @@
     this.#progress.wake();
   }
 }
+
+/** Task, run and worker of an attempt, for the log. */
+function describeAttempt({ task, run, worker }: Attempt): string {
+  const { occurrence, number } = task.stepRun;
+  return `${occurrence}.${number}.${task.index} run ${run} on ${worker.id}`;
+}
--- a/packages/leader/src/worker_group.ts
+++ b/packages/leader/src/worker_group.ts
@@ -175,7 +175,7 @@
   }
 
   #onEntry(id: string, value: string | undefined): void {
-    const { registry, journal, board } = this.#options;
+    const { clock, registry, journal, board } = this.#options;
     const known = board.workers.get(id);
     if (value === undefined) {
       if (known === undefined || !known.isRegistered) return;
@@ -198,7 +198,10 @@
       journal.info("A worker started or stopped draining.", {
         worker: id,
         isDraining: info.val.isDraining,
+        remainingMs: info.val.remainingMs,
+        attempts: known.attempts.size,
       });
+      known.leavesAtMs = clock.nowMs() + info.val.remainingMs;
     }
     const worker = board.addWorker(info.val);
     if (known === undefined) this.#openLink(worker);
@@ -241,6 +244,7 @@
     pool: "",
     failureDomain: "",
     isDraining: true,
+    remainingMs: 0,
     capacity: NO_RESOURCES,
     labels: [],
     rack: "",
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -10,6 +10,7 @@
 const LEADER_CASES = "packages/faults/src/leader_cases_test.ts";
 const TAKEOVER_CASES = "packages/faults/src/takeover_cases_test.ts";
 const RELAY_CASES = "packages/relay/src/relay_test.ts";
+const WORKER_LOSS_CASES = "packages/faults/src/worker_loss_cases_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
@@ -283,6 +284,27 @@
     to: "if (found?.bid.epoch !== -1) continue;",
     test: SUCCESSION_CASES,
   },
+  {
+    name: "runs on leaving workers are moved",
+    file: "packages/leader/src/term.ts",
+    from: "if (moves.length === 0) return;",
+    to: "if (moves.length >= 0) return;",
+    test: WORKER_LOSS_CASES,
+  },
+  {
+    name: "room is held back for tasks that move",
+    file: "packages/jobs/src/worker_record.ts",
+    from: "this.reservations.add(task);\n    this.#addResources(task, 1);",
+    to: "this.reservations.add(task);\n    this.#addResources(task, 0);",
+    test: "packages/jobs/src/evacuation_test.ts",
+  },
+  {
+    name: "long-running tasks that are down go first",
+    file: "packages/jobs/src/job_order.ts",
+    from: "isInterrupted: record.occurrences.flat().some(isInterrupted),",
+    to: "isInterrupted: false,",
+    test: "packages/jobs/src/start_planner_test.ts",
+  },
   {
     name: "what can still make its objective goes first",
     file: "packages/jobs/src/job_order.ts",
