fix(leader): leases last 6 s at most, so that lost tasks are back in time

Cause: the lease was as long as the worker accepts, whatever that means for its tasks. Those of a worker that is lost wait for the rest of its lease, 5% for a slow clock and 200 ms for the way: 10.7 s with leases of 10 s. Now a lease is as long as the worker accepts, 6 s at most (6.5 s). The leader's row names the longest lease that is out, so that the next leader waits for the longer ones of a version before this one; a row without the field means what workers accept.

'longer leases of a leader of an earlier version are waited for' guards the upgrade and fails when a missing field is read as 6 s. Price: an outage of the table ends leases of 10 s workers after 3.5 + 6 s instead of 3.5 + 10 s.

--- a/packages/faults/src/takeover_cases_test.ts
+++ b/packages/faults/src/takeover_cases_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ROSTER_KEY, stateKey } from "@laburnumtrack/jobs/job_rows";
+import { LEADER_KEY, ROSTER_KEY, stateKey } from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
+import { RunEnd } from "@laburnumtrack/jobs/task_worker";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
 import { EntryWorld } from "./entry_world";
 
@@ -103,6 +104,36 @@
   assert.equal(world.fleet.history.length, 4);
 });
 
+// Guards against a second run while a lease from an earlier version still lasts.
+test("takeover: longer leases of a leader of an earlier version are waited for", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 2, leaseMs: 10_000 });
+  await world.advance(2000);
+  await world.submit(JOB_ID, "work=60000", [{ isLongRunning: true }]);
+  await world.advance(500);
+  const longest = { acknowledged: 0, leaseUntilMs: 1e9, waitMs: 0 };
+  const target = { id: "w0", address: "" };
+  void world.fleet.renew(target, { ...longest, epoch: 1 });
+  await world.advance(50);
+  world.fleet.unreachable.add("w0");
+  const { leader } = world;
+  for (const { name } of world.entries) {
+    if (name !== leader?.name) world.table.refusedCommits.add(name);
+  }
+  const stopping = leader?.stop();
+  await world.advance(200);
+  const reading = world.table.get([LEADER_KEY]);
+  await world.advance(10);
+  const [row] = (await reading).unwrap();
+  const { leaseMs, ...former } = JSON.parse(row?.value ?? "{}");
+  assert.equal(leaseMs, 6000);
+  await world.writeRow(LEADER_KEY, JSON.stringify(former));
+  world.table.refusedCommits.clear();
+  await world.advance(15_000);
+  await stopping;
+  assert.deepEqual(world.findViolations(), []);
+  assert.equal(world.countEnds(RunEnd.Lapsed), 2);
+});
+
 function hasOtherLeader(world: EntryWorld, former: string): boolean {
   return world.entries.some(
     ({ name, leadership }) => name !== former && leadership.term !== undefined,
--- a/packages/faults/src/worker_loss_cases_test.ts
+++ b/packages/faults/src/worker_loss_cases_test.ts
@@ -71,7 +71,7 @@
     removal: Removal.Crash,
     restartsEntries: false,
     leaseMs: 10_000,
-    isKnownRed: true,
+    isKnownRed: false,
   },
   {
     removal: Removal.Crash,
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -92,6 +92,7 @@
     epoch: isNumber,
     sequence: isNumber,
     silent: isRecordOf(isNumber),
+    leaseMs: (value) => value === undefined || isNumber(value),
     pending: isRecordOf(isNumber),
   });
 }
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -12,6 +12,11 @@
   readonly epoch: number;
   /** Increases with each commit of a leader. */
   readonly sequence: number;
+  /**
+   * Longest lease in ms that a worker may hold from the holder or from leaders
+   * before it; absent in rows of versions that grant what workers accept.
+   */
+  readonly leaseMs?: number;
   /** The holder has stopped sending orders to workers. */
   readonly isReleased: boolean;
   /**
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -4,6 +4,7 @@
 import { type HeldLeadership, leadershipWrite } from "./progress_store";
 import { Succession } from "./succession";
 import { Term, type TermOptions, type TermStart } from "./term";
+import { grantedLeaseMs } from "./worker_link";
 
 /** Options of a candidate for leadership. */
 export interface LeaderElectionOptions extends Omit<TermOptions, "succession"> {
@@ -178,8 +179,11 @@
    * Tries to acquire the leadership; undefined unless that surely succeeded.
    */
   async #acquire(): Promise<TermStart | undefined> {
-    const { clock, table, member, instance, capacity, journal } = this.#options;
+    const { clock, table, member, instance, capacity, journal, leaseMs } =
+      this.#options;
     const former = this.#revision === 0 ? undefined : this.#view?.row;
+    const formerLeaseMs =
+      former === undefined ? 0 : (former.leaseMs ?? leaseMs);
     const row: LeadershipRow = {
       holder: member,
       instance,
@@ -188,6 +192,7 @@
       epoch: (former?.epoch ?? 0) + 1,
       sequence: (former?.sequence ?? 0) + 1,
       isReleased: false,
+      leaseMs: Math.max(formerLeaseMs, grantedLeaseMs(leaseMs)),
       silent: former?.silent ?? {},
       pending: former?.pending ?? {},
     };
@@ -214,6 +219,7 @@
       acquireSentMs: sentMs,
       acquiredMs: clock.nowMs(),
       wasReleased,
+      formerLeaseMs,
     };
   }
 
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -34,6 +34,8 @@
   readonly acquireSentMs: number;
   /** All workers that this leader knows. */
   readonly workers: () => Iterable<WorkerRecord>;
+  /** Longest lease in ms that a worker may hold now. */
+  readonly longestLeaseMs: () => number;
   /** Number of jobs of which nothing has started, by queue. */
   readonly pending: () => Record<string, number>;
   /** Exports the pressure model for the next leader. */
@@ -169,6 +171,7 @@
       sequence: this.#sequence,
       isReleased,
       successor,
+      leaseMs: this.#options.longestLeaseMs(),
       silent: this.#listSilent(),
       // Until the jobs are read, the counts of the former leader are kept.
       pending: this.#isStateLoaded
--- a/packages/leader/src/progress_store_test.ts
+++ b/packages/leader/src/progress_store_test.ts
@@ -80,6 +80,7 @@
       held: { row: ROW, revision },
       acquireSentMs: 0,
       workers: () => [],
+      longestLeaseMs: () => 6000,
       pending: () => ({}),
       exportModel: () => ({}),
       onFinalStored: () => {
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -23,7 +23,7 @@
 import { StartDelayLog } from "./start_delay_log";
 import type { Succession } from "./succession";
 import { WorkerGroup } from "./worker_group";
-import { latestExpiryMs } from "./worker_link";
+import { grantedLeaseMs, latestExpiryMs } from "./worker_link";
 
 /** Options of a term of leadership. */
 export interface TermOptions {
@@ -35,7 +35,7 @@
   readonly metrics: Metrics;
   /** The queue configuration that this process uses. */
   readonly config: () => QueueConfig;
-  /** Length of a worker's lease, in ms. */
+  /** Longest lease that workers accept, in ms. */
   readonly leaseMs: number;
   /**
    * Time after its last commit during which a leader may send orders, in ms.
@@ -55,6 +55,8 @@
   readonly acquiredMs: number;
   /** Whether the former leader is known to send no more orders. */
   readonly wasReleased: boolean;
+  /** Longest lease in ms that former leaders granted. */
+  readonly formerLeaseMs: number;
 }
 
 /** Shortest pause between two planning rounds, in ms. */
@@ -146,6 +148,7 @@
       held: start.held,
       acquireSentMs: start.acquireSentMs,
       workers: () => this.#board.workers.values(),
+      longestLeaseMs: () => this.#longestLeaseMs(),
       pending: () => countPending(this.#board),
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
@@ -260,6 +263,24 @@
     return this.#isFenced || this.#progress.isLost;
   }
 
+  /** Monotonic ms by which all leases of former leaders have expired. */
+  get #formerLeasesEndMs(): number {
+    const { acquiredMs, wasReleased, formerLeaseMs } = this.#start;
+    const { leaderLeaseMs } = this.#options;
+    // A worker that does not answer may hold a lease of a former leader.
+    const grantedMs = acquiredMs + (wasReleased ? 0 : leaderLeaseMs);
+    return latestExpiryMs(grantedMs, formerLeaseMs);
+  }
+
+  /** Longest lease in ms that a worker may hold now. */
+  #longestLeaseMs(): number {
+    const ownMs = grantedLeaseMs(this.#options.leaseMs);
+    const { clock } = this.#options;
+    return clock.nowMs() < this.#formerLeasesEndMs
+      ? Math.max(ownMs, this.#start.formerLeaseMs)
+      : ownMs;
+  }
+
   #createBoard(): JobBoard {
     const { held, acquiredMs } = this.#start;
     return new JobBoard(
@@ -279,11 +300,8 @@
   }
 
   #createWorkers(): WorkerGroup {
-    const { held, acquiredMs, wasReleased } = this.#start;
-    const { leaderLeaseMs, leaseMs } = this.#options;
-    // A worker that does not answer may hold a lease of a former leader.
-    const grantedMs = acquiredMs + (wasReleased ? 0 : leaderLeaseMs);
-    const expiryMs = latestExpiryMs(grantedMs, leaseMs);
+    const { held, acquiredMs } = this.#start;
+    const expiryMs = this.#formerLeasesEndMs;
     return new WorkerGroup({
       ...this.#options,
       board: this.#board,
@@ -299,6 +317,7 @@
         ...this.#options,
         board: this.#board,
         epoch: held.row.epoch,
+        leaseMs: grantedLeaseMs(this.#options.leaseMs),
         maySendOrders: () =>
           this.#leaderLease.isValid &&
           !this.#isLost &&
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -27,7 +27,7 @@
   readonly port: TaskWorker;
   /** Epoch of this leader; workers refuse orders of older ones. */
   readonly epoch: number;
-  /** Length of a lease in ms. */
+  /** Length of the leases to grant, in ms. */
   readonly leaseMs: number;
   /** Whether this leader may still send orders. */
   readonly maySendOrders: () => boolean;
@@ -64,6 +64,17 @@
 /** Time without new tasks for a worker that refused a start, in ms. */
 const REFUSAL_BACKOFF_MS = 300;
 
+/**
+ * Longest lease that is granted, in ms. The tasks of a lost worker start again
+ * only when its lease has expired.
+ */
+const MAX_LEASE_MS = 6000;
+
+/** Length in ms of the leases granted to workers that accept `acceptedMs`. */
+export function grantedLeaseMs(acceptedMs: number): number {
+  return Math.min(acceptedMs, MAX_LEASE_MS);
+}
+
 /**
  * Monotonic ms by which a lease granted at `grantedMs` has certainly expired.
  */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -291,6 +291,20 @@
     to: "if (moves.length >= 0) return;",
     test: WORKER_LOSS_CASES,
   },
+  {
+    name: "leases are short enough for lost tasks to be back in time",
+    file: "packages/leader/src/worker_link.ts",
+    from: "return Math.min(acceptedMs, MAX_LEASE_MS);",
+    to: "return acceptedMs;",
+    test: WORKER_LOSS_CASES,
+  },
+  {
+    name: "longer leases of earlier leaders are waited for",
+    file: "packages/leader/src/leader_election.ts",
+    from: "former === undefined ? 0 : (former.leaseMs ?? leaseMs);",
+    to: "former === undefined ? 0 : (former.leaseMs ?? 6000);",
+    test: TAKEOVER_CASES,
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
