fix(leader): a takeover keeps what is known of the runs on workers

Callers saw tasks of long-running jobs down for 10 to 16 s when leaders changed while workers left or crashed.

Cause: the class of fault is knowledge that ends with its holder. The next leader knew which workers may hold a lease, not what runs on them, so no task of an older job started until each worker had answered or its lease had expired. Until its own calls had failed, a leader also listed nobody as silent, and forgot what the row before had said.

Now a leader that releases stores the runs and remaining leases with the release; the next one takes them over, and each task waits only for the worker that may run it. Without a release, the leadership row has as much of silent workers, and who was silent stays listed until it answers. A leaving worker that is empty leaves the roster; whom the roster does not list runs nothing. A run taken over that its worker does not list is dropped at the first report: by then the worker refuses starts of the former leader. Runs are listed only when the ends of the worker are stored, else the next leader could start a task again that has ended.

--- a/packages/faults/src/takeover_cases_test.ts
+++ b/packages/faults/src/takeover_cases_test.ts
@@ -1,10 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { LEADER_KEY, ROSTER_KEY, stateKey } from "@laburnumtrack/jobs/job_rows";
+import {
+  LEADER_KEY,
+  ROSTER_KEY,
+  RUNS_PREFIX,
+  stateKey,
+} from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { RunEnd } from "@laburnumtrack/jobs/task_worker";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
 import { EntryWorld } from "./entry_world";
+import { findLongGaps } from "./run_violations";
 
 /** Submission times of the job, in ms after the takeover. */
 const OFFSETS_MS = [0, 20, 40, 60, 80, 100, 120, 140, 160, 180, 200, 240];
@@ -124,9 +130,11 @@
   const reading = world.table.get([LEADER_KEY]);
   await world.advance(10);
   const [row] = (await reading).unwrap();
-  const { leaseMs, ...former } = JSON.parse(row?.value ?? "{}");
+  const { leaseMs, silentRuns, ...former } = JSON.parse(row?.value ?? "{}");
   assert.equal(leaseMs, 6000);
+  assert.ok(silentRuns);
   await world.writeRow(LEADER_KEY, JSON.stringify(former));
+  await world.writeRow(`${RUNS_PREFIX}0`, null);
   world.table.refusedCommits.clear();
   await world.advance(15_000);
   await stopping;
@@ -134,6 +142,45 @@
   assert.equal(world.countEnds(RunEnd.Lapsed), 2);
 });
 
+// Guards against tasks that wait for the lease of a worker without any run.
+test("takeover: an emptied worker that does not answer is not waited for", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 4 });
+  await world.advance(2000);
+  const draining = world.drainWorker("w0");
+  await world.advance(1500);
+  await draining;
+  const steps = [{ count: 6 }, { count: 2, after: [0] }];
+  await world.submit(JOB_ID, "work=3000", steps);
+  await world.advance(2000);
+  world.leader?.clock.freeze(60_000);
+  world.fleet.leave("w0");
+  await world.advance(7000);
+  assert.deepEqual(world.findViolations(), []);
+  assert.deepEqual(await world.readPhases(), [JobPhase.Completed]);
+});
+
+// Guards against a wait for a whole lease after each of several lost leaders.
+test("takeover: what was known of a silent worker outlasts two lost leaders", async () => {
+  const world = new EntryWorld({ entries: 4, workers: 4 });
+  await world.advance(2000);
+  await world.submit(JOB_ID, "work=60000", [{ count: 8, isLongRunning: true }]);
+  await world.advance(500);
+  world.fleet.leave("w0");
+  await world.advance(2000);
+  const first = world.leader;
+  first?.clock.freeze(60_000);
+  while (!hasOtherLeader(world, first?.name ?? "")) await world.advance(10);
+  // It has read the rows but not missed an answer of the worker yet.
+  await world.advance(300);
+  for (const { name, clock, leadership } of world.entries) {
+    if (name !== first?.name && leadership.term) clock.freeze(60_000);
+  }
+  await world.advance(12_000);
+  const { history } = world.fleet;
+  assert.deepEqual(world.findViolations(), []);
+  assert.deepEqual(findLongGaps(history, world.clock.nowMs(), 12_000), []);
+});
+
 function hasOtherLeader(world: EntryWorld, former: string): boolean {
   return world.entries.some(
     ({ name, leadership }) => name !== former && leadership.term !== undefined,
--- a/packages/faults/src/worker_loss_cases_test.ts
+++ b/packages/faults/src/worker_loss_cases_test.ts
@@ -17,8 +17,6 @@
   readonly restartsEntries: boolean;
   /** Longest lease that workers accept, in ms. */
   readonly leaseMs: number;
-  /** Listed in KNOWN-RED.txt: its failure is reported and passed over. */
-  readonly isKnownRed: boolean;
 }
 
 /** Time that a long-running task may be without a run in calm times, in ms. */
@@ -41,58 +39,48 @@
     removal: Removal.Replacement,
     restartsEntries: false,
     leaseMs: 6000,
-    isKnownRed: false,
   },
   {
     removal: Removal.Replacement,
     restartsEntries: false,
     leaseMs: 10_000,
-    isKnownRed: false,
   },
   {
     removal: Removal.Replacement,
     restartsEntries: true,
     leaseMs: 6000,
-    isKnownRed: false,
   },
   {
     removal: Removal.Replacement,
     restartsEntries: true,
     leaseMs: 10_000,
-    isKnownRed: false,
   },
   {
     removal: Removal.Crash,
     restartsEntries: false,
     leaseMs: 6000,
-    isKnownRed: false,
   },
   {
     removal: Removal.Crash,
     restartsEntries: false,
     leaseMs: 10_000,
-    isKnownRed: false,
   },
   {
     removal: Removal.Crash,
     restartsEntries: true,
     leaseMs: 6000,
-    isKnownRed: true,
   },
   {
     removal: Removal.Crash,
     restartsEntries: true,
     leaseMs: 10_000,
-    isKnownRed: true,
   },
 ];
 
-for (const { removal, restartsEntries, leaseMs, isKnownRed } of CASES) {
+for (const { removal, restartsEntries, leaseMs } of CASES) {
   const restarts = restartsEntries ? " while entries restart" : "";
   // Guards against long-running tasks that stay down after a worker has gone.
-  test(`worker loss: long-running tasks are soon back when workers ${removal}${restarts}, leases of ${leaseMs} ms`, {
-    todo: isKnownRed,
-  }, async () => {
+  test(`worker loss: long-running tasks are soon back when workers ${removal}${restarts}, leases of ${leaseMs} ms`, async () => {
     const world = new EntryWorld({ entries: 4, workers: WORKERS, leaseMs });
     await world.advance(2000);
     for (let job = 0; job < 4; job += 1) {
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -177,10 +177,29 @@
       if (attempt !== undefined) listed.add(attempt);
     }
     for (const attempt of [...worker.attempts]) {
-      if (!listed.has(attempt)) this.#onMissing(attempt, times.sentMs);
+      if (listed.has(attempt)) attempt.isInherited = false;
+      // The worker answers this leader, so it refuses a start of a former one.
+      else if (attempt.isInherited && !report.hasMore) this.#detach(attempt);
+      else this.#onMissing(attempt, times.sentMs);
     }
   }
 
+  /** Attaches a run that a former leader knew to a worker that does not answer. */
+  adoptRun(
+    worker: WorkerRecord,
+    name: TaskName,
+    run: number,
+    nowMs: number,
+  ): void {
+    const record = this.jobs.get(name.jobId);
+    const task = record && findTask(record, name);
+    if (record === undefined || task === undefined) return;
+    if (isFinal(record.phase) || task.isDone) return;
+    const attempt = this.#attach(task, run, worker, nowMs);
+    attempt.confirmedMs = nowMs;
+    attempt.isInherited = true;
+  }
+
   /** Records that no run is left on a lost worker. */
   onLost(worker: WorkerRecord): void {
     for (const attempt of [...worker.attempts]) this.#detach(attempt);
@@ -440,6 +459,7 @@
       run,
       worker,
       phase: AttemptPhase.Running,
+      isInherited: false,
       sentMs,
       confirmedMs: undefined,
       pacePercent: 100,
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -26,6 +26,7 @@
   advice: undefined,
 };
 const COMPLETE_MS = 3000;
+const NAME = { jobId: "a", occurrence: 0, step: 0, index: 0 };
 
 interface Fixture {
   readonly board: JobBoard;
@@ -42,6 +43,47 @@
   readonly name: string;
   readonly act: (fixture: Fixture) => void;
 }[] = [
+  {
+    name: "an inherited run that the worker does not list never started",
+    act: ({ board, add, report }) => {
+      const record = add([{}]);
+      board.adoptRun(workerOf(board), NAME, 1, 0);
+      assert.equal(taskOf(record).attempts.length, 1);
+      report({});
+      assert.equal(taskOf(record).attempts.length, 0);
+    },
+  },
+  {
+    name: "an inherited run that the worker lists goes on",
+    act: ({ board, add, report, stops }) => {
+      const record = add([{}]);
+      board.adoptRun(workerOf(board), NAME, 1, 0);
+      report({ running: [running(1)] });
+      report({});
+      assert.equal(taskOf(record).attempts.length, 1);
+      assert.equal(stops.length, 0);
+    },
+  },
+  {
+    name: "an inherited run is kept while the worker has more ends to report",
+    act: ({ board, add, report }) => {
+      const record = add([{}]);
+      board.adoptRun(workerOf(board), NAME, 1, 0);
+      report({ hasMore: true });
+      assert.equal(taskOf(record).attempts.length, 1);
+    },
+  },
+  {
+    name: "an inherited run of a finished job or an unknown task is left out",
+    act: ({ board, add }) => {
+      const record = add([{}]);
+      board.adoptRun(workerOf(board), { ...NAME, index: 7 }, 1, 0);
+      board.adoptRun(workerOf(board), { ...NAME, jobId: "b" }, 1, 0);
+      board.cancelJob(record.job.id, 0);
+      board.adoptRun(workerOf(board), NAME, 1, 0);
+      assert.equal(workerOf(board).attempts.size, 0);
+    },
+  },
   {
     name: "an end that is reported twice counts once",
     act: ({ add, start, report }) => {
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -4,7 +4,7 @@
 import type { LearntModel } from "./interference_model";
 import type { Job } from "./job";
 import type { JobState } from "./job_state";
-import type { Bid, Leadership } from "./leadership_row";
+import type { Bid, Leadership, RunsRow } from "./leadership_row";
 
 /** Key prefixes of the stored rows. */
 export enum RowPrefix {
@@ -31,6 +31,9 @@
 /** Key of the {@linkcode Roster}. */
 export const ROSTER_KEY = `${RowPrefix.Leader}roster`;
 
+/** Key prefix of the {@linkcode RunsRow} rows. */
+export const RUNS_PREFIX = `${RowPrefix.Leader}runs/`;
+
 /** Key of the {@linkcode JobRow} of a job. */
 export function jobKey(id: string): string {
   return `${RowPrefix.Jobs}${id}`;
@@ -92,6 +95,8 @@
     epoch: isNumber,
     sequence: isNumber,
     silent: isRecordOf(isNumber),
+    silentRuns: (value) =>
+      value === undefined || isRecordOf(isWorkerRuns)(value),
     leaseMs: (value) => value === undefined || isNumber(value),
     pending: isRecordOf(isNumber),
   });
@@ -117,6 +122,14 @@
   );
 }
 
+/** Parses a row with the runs of a released leadership. Fault: `Malformed`. */
+export function readRuns(row: Pick<Row, "value">): Result<RunsRow, Fault> {
+  return parse<RunsRow>(row.value, {
+    epoch: isNumber,
+    workers: isRecordOf(isWorkerRuns),
+  });
+}
+
 /** Parses the learnt interference. Fault: `Malformed`. */
 export function readLearnt(
   row: Pick<Row, "value">,
@@ -161,6 +174,23 @@
   return Number.isFinite(value);
 }
 
+function isWorkerRuns(value: unknown): boolean {
+  if (!isObject(value)) return false;
+  const { bornMs, runs, leaseLeftMs } = value as Record<string, unknown>;
+  return (
+    isNumber(bornMs) &&
+    Array.isArray(runs) &&
+    runs.every(isStoredRun) &&
+    (leaseLeftMs === undefined || isNumber(leaseLeftMs))
+  );
+}
+
+function isStoredRun(value: unknown): boolean {
+  if (!Array.isArray(value)) return false;
+  const [jobId, ...numbers] = value;
+  return isText(jobId) && numbers.length === 4 && numbers.every(isNumber);
+}
+
 function isBoolean(value: unknown): boolean {
   return typeof value === "boolean";
 }
--- a/packages/jobs/src/job_rows_test.ts
+++ b/packages/jobs/src/job_rows_test.ts
@@ -9,6 +9,7 @@
   readLeadership,
   readLearnt,
   readRoster,
+  readRuns,
   readState,
 } from "./job_rows";
 
@@ -23,6 +24,8 @@
   sequence: 7,
   isReleased: false,
   silent: { w: 100 },
+  silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2, 3]] } },
+  leaseMs: 6000,
   pending: { q: 2 },
 };
 
@@ -45,6 +48,28 @@
     valid: { phase: "queued" },
     malformed: [{ phase: null }, { phase: 1 }],
   },
+  {
+    name: "a leadership of the version before",
+    read: readLeadership,
+    valid: { ...LEADERSHIP, silentRuns: undefined, leaseMs: undefined },
+    malformed: [],
+  },
+  {
+    name: "runs of a released leadership",
+    read: readRuns,
+    valid: {
+      epoch: 3,
+      workers: {
+        w: { bornMs: 5, leaseLeftMs: 100, runs: [["a", 0, 1, 2, 3]] },
+      },
+    },
+    malformed: [
+      { epoch: "3" },
+      { workers: [] },
+      { workers: { w: { bornMs: 5, leaseLeftMs: "1", runs: [] } } },
+      { workers: { w: { bornMs: 5, runs: {} } } },
+    ],
+  },
   {
     name: "a leadership",
     read: readLeadership,
@@ -56,6 +81,11 @@
       { instance: 5 },
       { silent: null },
       { silent: { w: "100" } },
+      { silentRuns: [] },
+      { silentRuns: { w: { runs: [] } } },
+      { silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2]] } } },
+      { silentRuns: { w: { bornMs: 5, runs: [[1, 0, 1, 2, 3]] } } },
+      { leaseMs: "6000" },
       { pending: [] },
     ],
   },
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -1,3 +1,30 @@
+/** A run in a stored row: its task and its number. */
+export type StoredRun = readonly [
+  jobId: string,
+  occurrence: number,
+  step: number,
+  index: number,
+  run: number,
+];
+
+/** What a leader knows of the runs on a worker. */
+export interface WorkerRuns {
+  /** Unix ms of its last known start; 0 if unknown. */
+  readonly bornMs: number;
+  /** All runs that may be active on it. */
+  readonly runs: readonly StoredRun[];
+  /** Time until its lease has expired in ms; absent where it stands elsewhere. */
+  readonly leaseLeftMs?: number;
+}
+
+/** Row with the runs on workers when a leadership was released. */
+export interface RunsRow {
+  /** Epoch of the leader that released it. */
+  readonly epoch: number;
+  /** By worker id; the runs of a worker that is missing are not known. */
+  readonly workers: Readonly<Record<string, WorkerRuns>>;
+}
+
 /** Row that the leading scheduler writes with every commit. */
 export interface Leadership {
   /** Name of the current leader, or of the last one. */
@@ -24,6 +51,11 @@
    * worker gets no lease until a commit leaves it out.
    */
   readonly silent: Readonly<Record<string, number>>;
+  /**
+   * Runs on workers of `silent`. The runs of a worker that is missing here are
+   * not known.
+   */
+  readonly silentRuns?: Readonly<Record<string, WorkerRuns>>;
   /** Number of jobs that have not started, by queue. */
   readonly pending: Readonly<Record<string, number>>;
 }
--- /dev/null
+++ b/packages/jobs/src/stored_runs.ts
@@ -0,0 +1,114 @@
+import type { Write } from "@laburnumtrack/core/table";
+import type { JobBoard } from "./job_board";
+import { RUNS_PREFIX } from "./job_rows";
+import type { RunsRow, StoredRun, WorkerRuns } from "./leadership_row";
+import { type Attempt, taskNameOf } from "./task";
+import type { WorkerRecord } from "./worker_record";
+
+/** Most runs in one row; the size of a row is limited. */
+const MAX_RUNS_PER_ROW = 700;
+/** Most workers in one row. */
+const MAX_WORKERS_PER_ROW = 250;
+/**
+ * Most runs that the leadership row lists, which is written often. The runs of a
+ * worker that does not fit are unknown to the next leader.
+ */
+const MAX_SILENT_RUNS = 400;
+
+/** Which ends of runs are stored. */
+export interface StoredEnds {
+  /** Whether all ends that were processed are stored, or are with this commit. */
+  readonly areAllStored: boolean;
+}
+
+/** Lists what may run on workers that do not answer, by worker id. */
+export function listSilentRuns(
+  workers: Iterable<WorkerRecord>,
+  ends: StoredEnds,
+): Record<string, WorkerRuns> {
+  const entries: [string, WorkerRuns][] = [];
+  let left = MAX_SILENT_RUNS;
+  for (const worker of workers) {
+    const { isSilent, attempts } = worker;
+    if (!isSilent || attempts.size > left || !isComplete(worker, ends))
+      continue;
+    left -= attempts.size;
+    entries.push([worker.id, describeRuns(worker)]);
+  }
+  return Object.fromEntries(entries);
+}
+
+/**
+ * Rows with the runs and the remaining leases of all workers, for the leader
+ * that follows a released leadership.
+ */
+export function createRunRows(
+  workers: Iterable<WorkerRecord>,
+  { epoch, nowMs }: { epoch: number; nowMs: number },
+): Write[] {
+  const pages: [string, WorkerRuns][][] = [[]];
+  let runs = 0;
+  for (const worker of workers) {
+    if (!isComplete(worker, { areAllStored: true })) continue;
+    const leaseLeftMs = Math.max(0, Math.ceil(worker.leaseExpiryMs - nowMs));
+    const entry = { ...describeRuns(worker), leaseLeftMs };
+    const page = pages.at(-1) ?? [];
+    const isFull =
+      page.length >= MAX_WORKERS_PER_ROW ||
+      (page.length > 0 && runs + entry.runs.length > MAX_RUNS_PER_ROW);
+    if (isFull) {
+      pages.push([[worker.id, entry]]);
+      runs = 0;
+    } else page.push([worker.id, entry]);
+    runs += entry.runs.length;
+  }
+  return pages.map((page, index) => {
+    const row: RunsRow = { epoch, workers: Object.fromEntries(page) };
+    return { key: `${RUNS_PREFIX}${index}`, value: JSON.stringify(row) };
+  });
+}
+
+/**
+ * Takes over what a former leader knew of the runs on its workers. Tasks of
+ * these runs wait for their workers; no other task needs to.
+ */
+export function adoptRuns(
+  board: JobBoard,
+  stored: ReadonlyMap<string, WorkerRuns>,
+  nowMs: number,
+): void {
+  for (const [id, { bornMs, runs }] of stored) {
+    const worker = board.workers.get(id);
+    if (worker === undefined || worker.hasReported) continue;
+    worker.bornMs = bornMs;
+    worker.areRunsInherited = true;
+    for (const [jobId, occurrence, step, index, run] of runs) {
+      board.adoptRun(worker, { jobId, occurrence, step, index }, run, nowMs);
+    }
+  }
+}
+
+/**
+ * Whether a leader that reads the stored rows and the listed runs knows of all
+ * runs on the worker, active or ended.
+ */
+function isComplete(
+  worker: WorkerRecord,
+  { areAllStored }: StoredEnds,
+): boolean {
+  return (
+    worker.areRunsKnown &&
+    worker.unknownRuns.length === 0 &&
+    worker.deferredEnds.length === 0 &&
+    (areAllStored || worker.storedEndNumber >= worker.lastEndNumber)
+  );
+}
+
+function describeRuns({ bornMs, attempts }: WorkerRecord): WorkerRuns {
+  return { bornMs, runs: [...attempts].map(toStoredRun) };
+}
+
+function toStoredRun({ task, run }: Attempt): StoredRun {
+  const { jobId, occurrence, step, index } = taskNameOf(task);
+  return [jobId, occurrence, step, index, run];
+}
--- /dev/null
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { JobBoard } from "./job_board";
+import { readRuns } from "./job_rows";
+import { adoptRuns, createRunRows, listSilentRuns } from "./stored_runs";
+import { RunEnd } from "./task_worker";
+import { createStep, createWorkerInfo } from "./test_samples";
+import type { WorkerRecord } from "./worker_record";
+
+const JOB = {
+  id: "a",
+  queue: "q",
+  spec: "",
+  steps: [createStep({ count: 1500 })],
+  repeat: undefined,
+  submittedMs: 0,
+};
+const NAME = { jobId: "b", occurrence: 0, step: 0, index: 0 };
+
+function createBoard(workers: number) {
+  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+  const record = board.addJob(JOB, 1, { nowMs: 0, wallMs: 0 });
+  for (let index = 0; index < workers; index += 1) {
+    const worker = board.addWorker(createWorkerInfo(`w${index}`));
+    worker.hasReported = true;
+    worker.bornMs = 7;
+  }
+  return { board, tasks: record.occurrences[0]?.[0]?.tasks ?? [] };
+}
+
+/** Workers whose runs the next leader would not know completely. */
+const INCOMPLETE: readonly {
+  readonly name: string;
+  readonly prepare: (worker: WorkerRecord) => void;
+}[] = [
+  {
+    name: "has not reported",
+    prepare: (worker) => {
+      worker.hasReported = false;
+    },
+  },
+  {
+    name: "runs a task of an unknown job",
+    prepare: (worker) => {
+      const run = { run: 1, checkpoint: "", percent: 0, measurement: 0 };
+      worker.unknownRuns.push({ task: NAME, ...run });
+    },
+  },
+  {
+    name: "has ended a task of an unknown job",
+    prepare: (worker) => {
+      const run = { number: 1, run: 1, end: RunEnd.Done, checkpoint: "" };
+      worker.deferredEnds.push({ task: NAME, ...run });
+    },
+  },
+];
+
+for (const { name, prepare } of INCOMPLETE) {
+  // Guards against a task that the next leader starts although it may run.
+  test(`stored runs: those of a worker are left out that ${name}`, () => {
+    const { board } = createBoard(2);
+    const [first, second] = board.workers.values();
+    assert.ok(first && second);
+    prepare(first);
+    first.isSilent = true;
+    second.isSilent = true;
+    const rows = createRunRows(board.workers.values(), { epoch: 1, nowMs: 0 });
+    const stored = rows.map((row) => readRuns({ value: row.value ?? "" }));
+    const ids = stored.flatMap((row) => Object.keys(row.unwrap().workers));
+    assert.deepEqual(ids, ["w1"]);
+    const silent = listSilentRuns(board.workers.values(), {
+      areAllStored: true,
+    });
+    assert.deepEqual(Object.keys(silent), ["w1"]);
+  });
+}
+
+test("stored runs: a worker is left out while ends on it are not stored", () => {
+  const { board } = createBoard(1);
+  const [worker] = board.workers.values();
+  assert.ok(worker);
+  worker.isSilent = true;
+  worker.lastEndNumber = 3;
+  const list = (areAllStored: boolean) =>
+    Object.keys(listSilentRuns(board.workers.values(), { areAllStored }));
+  assert.deepEqual(list(false), []);
+  assert.deepEqual(list(true), ["w0"]);
+});
+
+// Guards against a release that the table rejects because a row is too large.
+test("stored runs: rows are limited in size and hold all runs", () => {
+  const { board, tasks } = createBoard(300);
+  const workers = [...board.workers.values()];
+  for (const [index, task] of tasks.entries()) {
+    const worker = workers[index % workers.length];
+    assert.ok(worker);
+    board.onSent(task, 5, worker, 0);
+  }
+  const rows = createRunRows(workers, { epoch: 4, nowMs: 0 });
+  const other = createBoard(300);
+  for (const { value } of rows) {
+    assert.ok((value ?? "").length < 48_000);
+    const { epoch, workers: stored } = readRuns({
+      value: value ?? "",
+    }).unwrap();
+    assert.equal(epoch, 4);
+    for (const worker of other.board.workers.values()) {
+      worker.hasReported = false;
+    }
+    adoptRuns(other.board, new Map(Object.entries(stored)), 0);
+  }
+  assert.equal(rows.length, 3);
+  const adopted = other.tasks.filter(({ attempts }) => attempts.length === 1);
+  assert.equal(adopted.length, tasks.length);
+  assert.ok([...other.board.workers.values()].every((one) => one.areRunsKnown));
+});
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -19,6 +19,8 @@
   readonly run: number;
   readonly worker: WorkerRecord;
   phase: AttemptPhase;
+  /** It is known from a former leader only; no report has listed it yet. */
+  isInherited: boolean;
   /** Monotonic ms of the start order. */
   readonly sentMs: number;
   /** Monotonic ms at which the worker confirmed it; undefined until then. */
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -26,6 +26,8 @@
    * if that is not known.
    */
   leavesAtMs = Number.NEGATIVE_INFINITY;
+  /** Whether a former leader's rows tell which runs may be active on it. */
+  areRunsInherited = false;
   /** Monotonic ms at which its last answered renewal was sent. */
   lastReportMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms after which all granted leases have expired. */
@@ -65,6 +67,24 @@
     this.info = info;
   }
 
+  /** Whether this leader knows all runs that may be active on it. */
+  get areRunsKnown(): boolean {
+    return this.hasReported || this.areRunsInherited;
+  }
+
+  /**
+   * Whether it is leaving and has nothing that matters any more: no run is
+   * active, none will start, and the ends of all runs are stored.
+   */
+  get isEvacuated(): boolean {
+    return (
+      this.isLeaving &&
+      this.areRunsKnown &&
+      !this.mayHaveRuns &&
+      this.storedEndNumber >= this.lastEndNumber
+    );
+  }
+
   /** Whether it has announced that it ends soon, and is still there. */
   get isLeaving(): boolean {
     return this.isRegistered && this.info.isDraining;
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -194,6 +194,7 @@
       isReleased: false,
       leaseMs: Math.max(formerLeaseMs, grantedLeaseMs(leaseMs)),
       silent: former?.silent ?? {},
+      silentRuns: former?.silentRuns ?? {},
       pending: former?.pending ?? {},
     };
     const sentMs = clock.nowMs();
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -12,6 +12,7 @@
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
 import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
+import { createRunRows, listSilentRuns } from "@laburnumtrack/jobs/stored_runs";
 import type { JobRecord } from "@laburnumtrack/jobs/task";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -32,6 +33,11 @@
   readonly held: HeldLeadership;
   /** Monotonic ms at which the commit that acquired leadership was sent. */
   readonly acquireSentMs: number;
+  /**
+   * Remaining leases of workers that did not answer the former leader, by id, in
+   * ms.
+   */
+  readonly formerSilent: () => Record<string, number>;
   /** All workers that this leader knows. */
   readonly workers: () => Iterable<WorkerRecord>;
   /** Longest lease in ms that a worker may hold now. */
@@ -172,7 +178,7 @@
       isReleased,
       successor,
       leaseMs: this.#options.longestLeaseMs(),
-      silent: this.#listSilent(),
+      ...this.#describeSilent(isWhole),
       // Until the jobs are read, the counts of the former leader are kept.
       pending: this.#isStateLoaded
         ? this.#options.pending()
@@ -180,10 +186,11 @@
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
+    const rostered = selectRostered(workers);
     const isRosterNew =
-      this.#isStateLoaded && !isSameRoster(this.#storedRoster, workers);
+      this.#isStateLoaded && !isSameRoster(this.#storedRoster, rostered);
     const sentRoster = isRosterNew
-      ? new Map(workers.map(({ id, info }) => [id, info.address]))
+      ? new Map(rostered.map(({ id, info }) => [id, info.address]))
       : this.#storedRoster;
     const sentMs = clock.nowMs();
     const done = await table.commit({
@@ -192,8 +199,11 @@
         leadershipWrite(row),
         ...batch.map(jobStateWrite),
         ...this.#createModelWrite(sentMs, isReleased),
+        ...(isReleased && isWhole
+          ? createRunRows(workers, { epoch: row.epoch, nowMs: sentMs })
+          : []),
         ...(isRosterNew
-          ? [{ key: ROSTER_KEY, value: encodeRoster(workers) }]
+          ? [{ key: ROSTER_KEY, value: encodeRoster(rostered) }]
           : []),
       ],
     });
@@ -208,8 +218,8 @@
     this.#held = { row, revision };
     this.#lastCommitSentMs = sentMs;
     this.#storedRoster = sentRoster;
+    for (const worker of rostered) worker.isRostered = true;
     for (const worker of workers) {
-      worker.isRostered = true;
       worker.isListedSilent = worker.id in row.silent;
     }
     for (const { worker, end, bornMs } of ends) {
@@ -220,6 +230,21 @@
     return true;
   }
 
+  /** What the next leader has to know of workers that do not answer. */
+  #describeSilent(
+    areAllStored: boolean,
+  ): Pick<Leadership, "silent" | "silentRuns"> {
+    const { formerSilent, held, workers } = this.#options;
+    // Until the workers are read, the former leader's word is kept.
+    if (!this.#isStateLoaded) {
+      const { silentRuns = {} } = held.row;
+      return { silent: formerSilent(), silentRuns };
+    }
+    const silent = this.#listSilent();
+    const silentRuns = listSilentRuns(workers(), { areAllStored });
+    return { silent, silentRuns };
+  }
+
   /**
    * Remaining lease of each silent worker in ms. Listed workers get no lease
    * until a commit has removed them from the list.
@@ -331,6 +356,17 @@
   return JSON.stringify({ roster: Object.fromEntries(entries) });
 }
 
+/**
+ * Workers that may hold a lease. Others get none until a commit lists them
+ * again, so that the next leader need not wait for them.
+ */
+function selectRostered(workers: readonly WorkerRecord[]): WorkerRecord[] {
+  for (const worker of workers) {
+    if (worker.isEvacuated) worker.isRostered = false;
+  }
+  return workers.filter(({ isEvacuated }) => !isEvacuated);
+}
+
 /** Write of the leadership row. */
 export function leadershipWrite(row: Leadership): Write {
   return { key: LEADER_KEY, value: JSON.stringify(row) };
--- a/packages/leader/src/progress_store_test.ts
+++ b/packages/leader/src/progress_store_test.ts
@@ -79,6 +79,7 @@
       metrics: new Metrics(),
       held: { row: ROW, revision },
       acquireSentMs: 0,
+      formerSilent: () => ({}),
       workers: () => [],
       longestLeaseMs: () => 6000,
       pending: () => ({}),
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -87,6 +87,11 @@
  * without it, the next leader waits longer.
  */
 const MAX_RELEASE_MS = 1500;
+/**
+ * Most jobs that are stored together with the release; it also writes the rows
+ * with the runs on workers.
+ */
+const MAX_JOBS_WITH_RELEASE = 60;
 /**
  * Pause after a failed read or commit at the start and end of a term, in ms.
  */
@@ -147,6 +152,7 @@
       ...options,
       held: start.held,
       acquireSentMs: start.acquireSentMs,
+      formerSilent: () => this.#listFormerSilent(),
       workers: () => this.#board.workers.values(),
       longestLeaseMs: () => this.#longestLeaseMs(),
       pending: () => countPending(this.#board),
@@ -281,6 +287,18 @@
       : ownMs;
   }
 
+  /** Remaining leases of workers that did not answer the former leader, in ms. */
+  #listFormerSilent(): Record<string, number> {
+    const { held, acquiredMs } = this.#start;
+    const elapsedMs = this.#options.clock.nowMs() - acquiredMs;
+    return Object.fromEntries(
+      Object.entries(held.row.silent).map(([id, leftMs]) => [
+        id,
+        Math.max(0, Math.ceil(leftMs - elapsedMs)),
+      ]),
+    );
+  }
+
   #createBoard(): JobBoard {
     const { held, acquiredMs } = this.#start;
     return new JobBoard(
@@ -308,10 +326,8 @@
       background: this.#background,
       minRevision: held.revision,
       termSignal: this.#termAbort.signal,
-      initialExpiryMs: (id) => {
-        const leftMs = held.row.silent[id];
-        return leftMs === undefined ? expiryMs : acquiredMs + leftMs;
-      },
+      held: held.row,
+      silentExpiryMs: (leftMs) => acquiredMs + leftMs,
       maxExpiryMs: expiryMs,
       link: {
         ...this.#options,
@@ -344,7 +360,7 @@
       () => this.#intake.loadStates(),
       () => this.#intake.follower.load(),
       () => this.#workers.follower.load(),
-      () => this.#workers.loadRoster(),
+      () => this.#workers.loadFormerRuns(),
     ];
     for (const load of loaders) {
       while (!(await load())) {
@@ -371,11 +387,13 @@
     const limitMs = clock.nowMs() + MAX_RELEASE_MS;
     let isReleased = false;
     while (!isReleased && !this.#isLost && clock.nowMs() < limitMs) {
-      isReleased = await this.#progress.commit({
-        isReleased: true,
+      const isLast = this.#progress.backlog <= MAX_JOBS_WITH_RELEASE;
+      const isStored = await this.#progress.commit({
+        isReleased: isLast,
         successor: this.#successor,
       });
-      if (!isReleased) await clock.sleep(TABLE_RETRY_PAUSE_MS);
+      isReleased = isStored && isLast;
+      if (!isStored) await clock.sleep(TABLE_RETRY_PAUSE_MS);
     }
     journal.info("This scheduler tried to release its leadership.", {
       isReleased,
@@ -493,7 +511,7 @@
     if (nowMs < this.#workers.unlistedExpiryMs) return;
     const silent: string[] = [];
     for (const worker of this.#board.workers.values()) {
-      if (worker.hasReported) continue;
+      if (worker.areRunsKnown) continue;
       if (nowMs < worker.leaseExpiryMs) return;
       silent.push(worker.id);
     }
--- a/packages/leader/src/worker_group.ts
+++ b/packages/leader/src/worker_group.ts
@@ -1,14 +1,28 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { FeedTable, Snapshot } from "@laburnumtrack/core/feed_table";
 import { NO_RESOURCES } from "@laburnumtrack/core/resources";
+import type { Row } from "@laburnumtrack/core/table";
 import type { JobBoard, StopRequest } from "@laburnumtrack/jobs/job_board";
-import { ROSTER_KEY, readRoster } from "@laburnumtrack/jobs/job_rows";
+import {
+  ROSTER_KEY,
+  type Roster,
+  RowPrefix,
+  RUNS_PREFIX,
+  readRoster,
+  readRuns,
+} from "@laburnumtrack/jobs/job_rows";
+import type {
+  Leadership,
+  WorkerRuns,
+} from "@laburnumtrack/jobs/leadership_row";
+import { adoptRuns } from "@laburnumtrack/jobs/stored_runs";
 import type { Attempt } from "@laburnumtrack/jobs/task";
 import type { RegisteredWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
 import { RowFollower } from "@laburnumtrack/process/row_follower";
+import { Ok } from "ts-results";
 import type { BackgroundTasks } from "./background_tasks";
 import { WorkerLink, type WorkerLinkOptions } from "./worker_link";
 
@@ -22,11 +36,13 @@
   readonly background: BackgroundTasks;
   /** Revision of the leadership; reads older than it are rejected. */
   readonly minRevision: number;
+  /** The leadership row that acquired the leadership. */
+  readonly held: Leadership;
   /**
-   * Monotonic ms by which leases that former leaders granted to a worker have
-   * expired.
+   * Monotonic ms by which a lease has expired that had `leftMs` left by the
+   * former leader's row.
    */
-  readonly initialExpiryMs: (id: string) => number;
+  readonly silentExpiryMs: (leftMs: number) => number;
   /** Monotonic ms at which all leases of former leaders have expired. */
   readonly maxExpiryMs: number;
   /** Options that all links share. */
@@ -54,6 +70,8 @@
   readonly #links = new Map<string, OpenLink>();
   #unansweredStarts = 0;
   #unlistedExpiryMs = Number.NEGATIVE_INFINITY;
+  /** Ids of the workers that may hold a former leader's lease; undefined if unknown. */
+  #formerRoster: ReadonlySet<string> | undefined;
 
   constructor(options: WorkerGroupOptions) {
     this.#options = options;
@@ -89,16 +107,55 @@
   }
 
   /**
-   * Adds workers that the roster lists and the registry does not: they may still
-   * hold a lease. Returns false when the table cannot be read.
+   * Loads what former leaders stored of the runs on workers: which workers may
+   * hold a lease, also some that are not registered, and what may run on them.
+   * Returns false when the table cannot be read.
    */
-  async loadRoster(): Promise<boolean> {
-    const { table, board, journal } = this.#options;
-    const read = await table.get([ROSTER_KEY]);
-    if (read.err) return false;
-    const [row] = read.val;
-    if (row === undefined) return true;
-    const roster = readRoster(row);
+  async loadFormerRuns(): Promise<boolean> {
+    const { table, clock, board, minRevision } = this.#options;
+    const read = await table.snapshot(RowPrefix.Leader);
+    // Outdated rows may lack workers to which leases were granted since.
+    if (read.err || read.val.revision < minRevision) return false;
+    const { rows } = read.val;
+    this.#applyRoster(rows.find(({ key }) => key === ROSTER_KEY));
+    const stored = this.#readFormerRuns(rows);
+    for (const [id, { leaseLeftMs }] of stored) {
+      const worker = board.workers.get(id);
+      if (worker === undefined || leaseLeftMs === undefined) continue;
+      const expiryMs = this.#options.silentExpiryMs(leaseLeftMs);
+      worker.leaseExpiryMs = Math.min(worker.leaseExpiryMs, expiryMs);
+    }
+    adoptRuns(board, stored, clock.nowMs());
+    return true;
+  }
+
+  /** Runs that the former leader stored with its last commit, by worker. */
+  #readFormerRuns(rows: readonly Row[]): Map<string, WorkerRuns> {
+    const { held, journal } = this.#options;
+    const stored = new Map(Object.entries(held.silentRuns ?? {}));
+    for (const row of rows) {
+      if (!row.key.startsWith(RUNS_PREFIX)) continue;
+      const read = readRuns(row);
+      if (read.err) {
+        const cause = read.val.message;
+        journal.warn(
+          "Stored runs cannot be decoded; their workers have to report first.",
+          { key: row.key, cause },
+        );
+        continue;
+      }
+      // Leaders since then may have started other runs.
+      if (read.val.epoch !== held.epoch - 1) continue;
+      for (const [id, runs] of Object.entries(read.val.workers)) {
+        stored.set(id, runs);
+      }
+    }
+    return stored;
+  }
+
+  #applyRoster(row: Row | undefined): void {
+    const { board, journal } = this.#options;
+    const roster = row === undefined ? Ok<Roster>({}) : readRoster(row);
     if (roster.err) {
       const cause = roster.val.message;
       journal.error(
@@ -106,8 +163,10 @@
         { cause },
       );
       this.#unlistedExpiryMs = this.#options.maxExpiryMs;
-      return true;
+      return;
     }
+    this.#formerRoster = new Set(Object.keys(roster.val));
+    for (const worker of board.workers.values()) this.#inheritRuns(worker);
     for (const [id, address] of Object.entries(roster.val)) {
       const known = board.workers.get(id);
       if (known !== undefined) {
@@ -119,7 +178,14 @@
       worker.isRostered = true;
       this.#openLink(worker);
     }
-    return true;
+  }
+
+  /** A worker without a lease of a former leader runs nothing. */
+  #inheritRuns(worker: WorkerRecord): void {
+    if (this.#formerRoster === undefined) return;
+    if (this.#formerRoster.has(worker.id)) return;
+    worker.areRunsInherited = true;
+    worker.leaseExpiryMs = Number.NEGATIVE_INFINITY;
   }
 
   /** Sends the start of an attempt that is on the board. */
@@ -158,7 +224,7 @@
     for (const worker of board.workers.values()) {
       if (worker.isRegistered || worker.mayHaveRuns) continue;
       // It may still run tasks of a former leader.
-      if (!worker.hasReported && !isSettled) continue;
+      if (!worker.areRunsKnown && !isSettled) continue;
       board.workers.delete(worker.id);
       this.#links.get(worker.id)?.removal.abort();
       this.#links.delete(worker.id);
@@ -208,9 +274,17 @@
   }
 
   #openLink(worker: WorkerRecord): void {
-    const { initialExpiryMs, link: shared, background } = this.#options;
+    const { held, silentExpiryMs, maxExpiryMs } = this.#options;
+    const { link: shared, background } = this.#options;
+    const wasSilent = Object.hasOwn(held.silent, worker.id);
     // Leases that this leader grants extend it.
-    worker.leaseExpiryMs = initialExpiryMs(worker.id);
+    worker.leaseExpiryMs = wasSilent
+      ? silentExpiryMs(held.silent[worker.id] ?? 0)
+      : maxExpiryMs;
+    // It stays listed as silent until it has answered this leader.
+    worker.isSilent = wasSilent;
+    worker.isListedSilent = wasSilent;
+    this.#inheritRuns(worker);
     const link = new WorkerLink(worker, shared);
     const removal = new AbortController();
     this.#links.set(worker.id, { link, removal });
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -53,6 +53,8 @@
 const RENEWAL_RETRY_PAUSE_MS = 150;
 /** Pause while no orders may be sent or no lease may be granted, in ms. */
 const NO_ORDERS_PAUSE_MS = 50;
+/** Interval at which an evacuated worker is checked for use, in ms. */
+const EVACUATED_PAUSE_MS = 500;
 /** Most times that an order without a definite answer is sent. */
 const MAX_ORDER_TRIES = 3;
 /** Margin for a worker's clock, which may be slow by 2%. */
@@ -94,6 +96,8 @@
    * former numbers would drop ends that this leader has not seen.
    */
   #restartMs = Number.NEGATIVE_INFINITY;
+  /** Number up to which the last answered renewal acknowledged ends. */
+  #acknowledgedEnd = 0;
   /** Monotonic ms at which the last answered renewal was sent. */
   #answeredMs = Number.NEGATIVE_INFINITY;
 
@@ -110,6 +114,10 @@
         await clock.sleep(NO_ORDERS_PAUSE_MS, signal);
         continue;
       }
+      if (this.worker.isEvacuated && this.#isAcknowledged) {
+        await clock.sleep(EVACUATED_PAUSE_MS, signal);
+        continue;
+      }
       const isAnswered = await this.#renew(signal);
       if (signal.aborted) return;
       if (isAnswered && !this.worker.canGrantLease) {
@@ -120,6 +128,12 @@
     }
   }
 
+  /** Whether the worker knows that all ends it has reported are stored. */
+  get #isAcknowledged(): boolean {
+    const { hasReported, lastEndNumber } = this.worker;
+    return hasReported && this.#acknowledgedEnd >= lastEndNumber;
+  }
+
   /** Sends a start, with retries, and reports the outcome to the board. */
   async start(attempt: Attempt): Promise<void> {
     const { clock, board, port, maySendOrders, metrics } = this.#options;
@@ -220,10 +234,11 @@
     const sentMs = clock.nowMs();
     const leaseUntilMs = this.#grantLease();
     const isWithoutLease = leaseUntilMs === undefined;
+    const acknowledged =
+      this.#answeredMs > this.#restartMs ? worker.storedEndNumber : 0;
     const reply = await port.renew(worker.info, {
       epoch,
-      acknowledged:
-        this.#answeredMs > this.#restartMs ? worker.storedEndNumber : 0,
+      acknowledged,
       leaseUntilMs,
       waitMs: isWithoutLease ? 0 : this.#waitMs,
     });
@@ -235,6 +250,7 @@
       return false;
     }
     this.#answeredMs = sentMs;
+    this.#acknowledgedEnd = acknowledged;
     this.#onReport(reply.val, sentMs);
     return true;
   }
