fix(jobs): crashes long after the start of a task prove less

Now three crashes end a job only if each was noticed within 500 ms of the start, or five runs are lost. A run that the next incarnation lists after all is no loss any more.

--- a/packages/jobs/src/crash_losses.ts
+++ b/packages/jobs/src/crash_losses.ts
@@ -22,6 +22,8 @@
   /** Unix ms of the start of the incarnation that had the run. */
   readonly bornMs: number;
   evidence: LossEvidence;
+  /** Whether the worker was lost a while after the start, not just then. */
+  isLate: boolean;
 }
 
 /** What became of a loss. */
@@ -43,7 +45,9 @@
 export const ISOLATION_LOSSES = 2;
 /** A run that worked for this time did not crash its worker, in ms. */
 export const CLEARING_RUN_MS = 10_000;
-/** A task is given up once this many workers have crashed under it. */
+/** A loss that is noticed this long after the start is late, in ms. */
+const LATE_LOSS_MS = 500;
+/** A task is given up once this many workers crashed just after its start. */
 const MAX_CRASHES = 3;
 /** A task is given up once this many runs are lost. */
 const MAX_LOST_RUNS = 5;
@@ -80,7 +84,7 @@
 
 /** Whether so many runs were lost that the task must not start again. */
 export function isOverLossLimit({ losses }: Task): boolean {
-  return losses.length >= MAX_LOST_RUNS || countCrashes(losses) >= MAX_CRASHES;
+  return losses.length >= MAX_LOST_RUNS || isProvenLoop(losses);
 }
 
 /**
@@ -106,32 +110,57 @@
   /** Records a lost run, or adds evidence to one that is recorded. */
   record(
     task: Task,
-    loss: Omit<Loss, "evidence">,
+    loss: Omit<Loss, "evidence" | "isLate">,
     evidence: LossEvidence,
+    isLate = false,
   ): void {
     if (task.isDone || isFinal(task.stepRun.record.phase)) return;
     const known = task.losses.find(
       ({ run, workerId }) => run === loss.run && workerId === loss.workerId,
     );
     if (known !== undefined) {
+      known.isLate ||= isLate;
       this.#strengthen(task, known, evidence);
       return;
     }
-    const added = { ...loss, evidence };
+    const added = { ...loss, evidence, isLate };
     task.losses.push(added);
     task.lastRun = Math.max(task.lastRun, loss.run);
     this.#suspects.add(task);
     this.#onChange(task, added, LossChange.Recorded);
   }
 
-  /** Records that an attempt was lost, or may be, with its worker. */
-  recordAttempt(attempt: Attempt, evidence: LossEvidence): void {
-    const { task, run, worker, bornMs } = attempt;
+  /**
+   * Records that an attempt was lost, or may be, with its worker. `noticedMs` is
+   * when the worker stopped answering or another incarnation answered;
+   * undefined if that was noticed before.
+   */
+  recordAttempt(
+    attempt: Attempt,
+    evidence: LossEvidence,
+    noticedMs?: number,
+  ): void {
+    const { task, run, worker, bornMs, sentMs, confirmedMs } = attempt;
     const { info, id: workerId } = worker;
     // A worker that drains is about to leave; its end proves nothing.
     if (info.isDraining || hasWorkedLong(attempt, worker.lastReportMs)) return;
     const { address } = info;
-    this.record(task, { run, workerId, address, bornMs }, evidence);
+    const startMs = confirmedMs ?? sentMs;
+    const isLate = (noticedMs ?? startMs) - startMs > LATE_LOSS_MS;
+    this.record(task, { run, workerId, address, bornMs }, evidence, isLate);
+  }
+
+  /** Withdraws the loss of a run that is listed after it was taken for lost. */
+  onListed({ task, run, worker, bornMs }: Attempt): void {
+    if (task.losses.length === 0) return;
+    this.#withdraw(
+      task,
+      (loss) =>
+        loss.evidence !== LossEvidence.Open &&
+        loss.run === run &&
+        loss.workerId === worker.id &&
+        loss.bornMs !== bornMs,
+    );
   }
 
   /** Withdraws the open loss of a run whose end is known. */
@@ -221,8 +250,7 @@
 
   #isCrashLoop(task: Task, nowMs: number): boolean {
     const { losses } = task;
-    const crashes = countCrashes(losses);
-    if (crashes >= MAX_CRASHES) return true;
+    if (isProvenLoop(losses)) return true;
     if (losses.length < MAX_CRASHES) {
       if (this.#waits.delete(task)) task.notBeforeMs = nowMs;
       return false;
@@ -230,6 +258,8 @@
     if (losses.some(({ evidence }) => evidence === LossEvidence.Open)) {
       return false;
     }
+    const crashes = countCrashes(losses);
+    if (crashes === losses.length) return crashes >= MAX_LOST_RUNS;
     const untilMs = this.#waitFor(task, nowMs);
     if (losses.length < MAX_LOST_RUNS) return false;
     return crashes >= MIN_CRASHES || nowMs >= untilMs;
@@ -307,6 +337,11 @@
   );
 }
 
+/** Whether enough workers crashed just after a start of the task. */
+function isProvenLoop(losses: readonly Loss[]): boolean {
+  return countCrashes(losses.filter(({ isLate }) => !isLate)) >= MAX_CRASHES;
+}
+
 function countCrashes(losses: readonly Loss[]): number {
   const crashed = losses.filter(
     ({ evidence }) => evidence === LossEvidence.Restarted,
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -185,9 +185,10 @@
     times: { sentMs: number; nowMs: number; wallMs: number },
   ): void {
     if (report.bornMs !== worker.bornMs) {
-      if (worker.bornMs !== 0) this.#onNewIncarnation(worker, times.sentMs);
+      if (worker.bornMs !== 0) this.#onNewIncarnation(worker, times);
       worker.bornMs = report.bornMs;
     }
+    worker.silentSinceMs = undefined;
     worker.hasReported ||= !report.hasMore;
     const isComplete = times.nowMs >= this.#options.allJobsKnownMs;
     this.#applyDeferredEnds(worker, { ...times, isComplete });
@@ -215,9 +216,10 @@
   }
 
   /** Records that a worker does not answer; its runs may be lost. */
-  onSilent(worker: WorkerRecord): void {
+  onSilent(worker: WorkerRecord, nowMs: number): void {
+    worker.silentSinceMs ??= nowMs;
     for (const attempt of worker.attempts) {
-      this.losses.recordAttempt(attempt, LossEvidence.Open);
+      this.losses.recordAttempt(attempt, LossEvidence.Open, nowMs);
     }
   }
 
@@ -250,11 +252,15 @@
    * before the report was requested may have reached the new incarnation, or may
    * still reach it, so its attempt is kept.
    */
-  #onNewIncarnation(worker: WorkerRecord, sentMs: number): void {
+  #onNewIncarnation(
+    worker: WorkerRecord,
+    { sentMs, nowMs }: { sentMs: number; nowMs: number },
+  ): void {
     for (const attempt of [...worker.attempts]) {
       const confirmedMs = attempt.confirmedMs ?? Number.POSITIVE_INFINITY;
       if (confirmedMs >= sentMs) continue;
-      this.#detachLost(attempt, LossEvidence.Restarted);
+      const noticedMs = worker.silentSinceMs ?? nowMs;
+      this.#detachLost(attempt, LossEvidence.Restarted, noticedMs);
     }
     this.#resetReports(worker);
   }
@@ -335,6 +341,7 @@
       this.stop(attempt, "its job or task is over");
     } else {
       this.onStarted(attempt, nowMs);
+      this.losses.onListed(attempt);
       this.losses.onRunning(attempt, sentMs);
     }
     return attempt;
@@ -507,8 +514,12 @@
   }
 
   /** Removes a run that was lost with its worker. */
-  #detachLost(attempt: Attempt, evidence: LossEvidence): void {
-    this.losses.recordAttempt(attempt, evidence);
+  #detachLost(
+    attempt: Attempt,
+    evidence: LossEvidence,
+    noticedMs?: number,
+  ): void {
+    this.losses.recordAttempt(attempt, evidence, noticedMs);
     this.#remove(attempt);
   }
 
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -130,13 +130,10 @@
 }
 
 function storedLossesOf({ index, losses }: Task): StoredLoss[] {
-  return losses.map(({ run, workerId: worker, address, bornMs, evidence }) => ({
+  return losses.map(({ workerId, ...loss }) => ({
     index,
-    run,
-    worker,
-    address,
-    bornMs,
-    evidence,
+    worker: workerId,
+    ...loss,
   }));
 }
 
@@ -156,6 +153,7 @@
     address: `${address}`,
     bornMs,
     evidence,
+    isLate: stored.isLate === true,
   });
   task.lastRun = Math.max(task.lastRun, run);
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -20,6 +20,8 @@
   /** Unix ms of the start of the worker's incarnation. */
   readonly bornMs: number;
   readonly evidence: LossEvidence;
+  /** Whether the worker was lost a while after the start. */
+  readonly isLate: boolean;
 }
 
 /** Stored progress of one step of one occurrence. */
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -15,6 +15,8 @@
   isRostered = false;
   /** Whether its last renewal went unanswered. */
   isSilent = false;
+  /** Monotonic ms since which no renewal was answered; undefined if one was. */
+  silentSinceMs: number | undefined;
   /** Whether the leadership row may list it as silent. */
   isListedSilent = false;
   /** Unix ms of the start of the reporting incarnation; 0 before any report. */
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -304,7 +304,7 @@
           cause: fault.message,
         },
       );
-      board.onSilent(worker);
+      board.onSilent(worker, clock.nowMs());
     }
     if (fault.code === FaultCode.OtherInstance) board.losses.onReplaced(worker);
     if (!worker.mayHaveRuns || clock.nowMs() < worker.leaseExpiryMs) return;
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -39,7 +39,7 @@
   {
     name: "crash losses: runs on a silent worker are possible losses",
     file: "packages/leader/src/worker_link.ts",
-    from: "board.onSilent(worker);",
+    from: "board.onSilent(worker, clock.nowMs());",
     to: "",
     test: CRASH_CASES,
   },
@@ -60,7 +60,21 @@
   {
     name: "crash losses: a job in a crash loop is given up",
     file: "packages/jobs/src/crash_losses.ts",
-    from: "if (crashes >= MAX_CRASHES) return true;",
+    from: "if (isProvenLoop(losses)) return true;",
+    to: "",
+    test: CRASH_LOSSES,
+  },
+  {
+    name: "crash losses: crashes long after the start prove less",
+    file: "packages/jobs/src/crash_losses.ts",
+    from: "const isLate = (noticedMs ?? startMs) - startMs > LATE_LOSS_MS;",
+    to: "const isLate = Number.isNaN(noticedMs ?? startMs);",
+    test: CRASH_LOSSES,
+  },
+  {
+    name: "crash losses: a run that is listed after all is not lost",
+    file: "packages/jobs/src/job_board.ts",
+    from: "this.losses.onListed(attempt);",
     to: "",
     test: CRASH_LOSSES,
   },
