--- a/packages/jobs/src/crash_losses_test.ts
+++ b/packages/jobs/src/crash_losses_test.ts
@@ -281,6 +281,17 @@
     },
     expected: ["w0"],
   },
+  {
+    name: "suspects go to different workers",
+    step: { count: 2 },
+    act: ({ board, record, plan }) => {
+      for (const task of tasksOf(record)) {
+        board.losses.record(task, lossOn("w5"), Unresponsive);
+      }
+      return plan().sort();
+    },
+    expected: ["w0", "w1"],
+  },
   {
     name: "an isolated task's worker gets no other task",
     act: ({ lose, board, plan }) => {
