refactor(jobs): options of the board in a file of their own

Also: a case of workers that are back under an id that is not listed, without which no test noticed that another instance's answer is proof; a late notice of a loss is stored at once.

--- a/packages/faults/src/crash_cases_test.ts
+++ b/packages/faults/src/crash_cases_test.ts
@@ -29,6 +29,8 @@
   readonly restartDelayMs?: number;
   /** Whether it is back under a new id. */
   readonly isRenamed?: boolean;
+  /** Whether it is back under a new id that the registry doesn't list yet. */
+  readonly isUnlisted?: boolean;
   /** Number of innocent jobs, which must be completed. */
   readonly innocents?: number;
   /** What happens after the jobs were submitted. */
@@ -66,6 +68,11 @@
     isRenamed: true,
     innocents: 6,
   },
+  {
+    name: "workers come back under a new id that is not listed",
+    isUnlisted: true,
+    workers: 8,
+  },
   {
     name: "workers never come back",
     restartDelayMs: Number.POSITIVE_INFINITY,
@@ -328,12 +335,13 @@
 }
 
 function createWorld(
-  given: { restartDelayMs?: number; isRenamed?: boolean },
+  given: Pick<Case, "restartDelayMs" | "isRenamed" | "isUnlisted">,
   size: { entries: number; workers: number },
 ): EntryWorld {
   const world = new EntryWorld(size);
   world.fleet.restartDelayMs = given.restartDelayMs ?? 3000;
   if (given.isRenamed === true) world.renameCrashedWorkers();
+  if (given.isUnlisted === true) world.fleet.onRestarted = (id) => `${id}+0`;
   return world;
 }
 
--- a/packages/jobs/src/crash_losses.ts
+++ b/packages/jobs/src/crash_losses.ts
@@ -102,11 +102,6 @@
     this.#listener = listener;
   }
 
-  /** Tasks of open jobs with losses. */
-  get suspects(): ReadonlySet<Task> {
-    return this.#suspects;
-  }
-
   /** Records a lost run, or adds evidence to one that is recorded. */
   record(
     task: Task,
@@ -119,7 +114,10 @@
       ({ run, workerId }) => run === loss.run && workerId === loss.workerId,
     );
     if (known !== undefined) {
-      known.isLate ||= isLate;
+      if (isLate && !known.isLate) {
+        known.isLate = true;
+        this.#listener.onChanged(task.stepRun.record);
+      }
       this.#strengthen(task, known, evidence);
       return;
     }
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -1,14 +1,13 @@
 import { createAttempt, recordMeasurement } from "./attempt";
-import {
-  CrashLosses,
-  type Loss,
-  type LossChange,
-  LossEvidence,
-} from "./crash_losses";
+import type {
+  AddJobOptions,
+  BoardListener,
+  BoardOptions,
+} from "./board_options";
+import { CrashLosses, LossEvidence } from "./crash_losses";
 import type { Job } from "./job";
 import { createJobRecord, findTask } from "./job_record";
-import { isFinal, JobPhase, type JobState } from "./job_state";
-import type { Queue } from "./queue_config";
+import { isFinal, JobPhase } from "./job_state";
 import {
   type Attempt,
   AttemptPhase,
@@ -35,37 +34,6 @@
   readonly reason: string;
 }
 
-/** Callbacks from the board to its owner. */
-export interface BoardListener {
-  /** The job's state has changed and must be stored. */
-  readonly onChanged: (record: JobRecord) => void;
-  /** A run must be stopped. */
-  readonly onStop: (stop: StopRequest) => void;
-  /** The end of a run was recorded. */
-  readonly onEnd: (task: Task, ended: EndedRun, worker: WorkerRecord) => void;
-  /** A run was lost with its worker, or is not taken for lost any more. */
-  readonly onLoss?: (task: Task, loss: Loss, change: LossChange) => void;
-}
-
-/** Settings of a {@linkcode JobBoard}. */
-export interface BoardOptions {
-  /** Run numbers start above this. */
-  readonly runFloor: number;
-  /** Monotonic ms from which the board knows every job that may have run. */
-  readonly allJobsKnownMs: number;
-}
-
-/** What {@linkcode JobBoard.addJob} needs besides the job. */
-export interface AddJobOptions {
-  readonly queue?: Queue | undefined;
-  /** Stored progress; undefined if there is none. */
-  readonly state?: JobState | undefined;
-  /** Monotonic ms. */
-  readonly nowMs: number;
-  /** Unix ms. */
-  readonly wallMs: number;
-}
-
 /** Delay before a failed task starts again, in ms. */
 const RETRY_DELAY_MS = 100;
 /** Reports must list a run this long after its unconfirmed start, in ms. */
