fix(jobs): runs that were taken over count as lost like the leader's own

Cause: the next leader takes over the runs on all workers, and for it they start at that moment. A crash just before the release was noticed 0.6 s later, so it counted as late, which proves less. The opposite held too: a run that had worked for long before looked new. Now it is not called late when no report has listed the run, and the time that a run had worked is stored with it.

--- a/packages/jobs/src/attempt.ts
+++ b/packages/jobs/src/attempt.ts
@@ -22,6 +22,7 @@
       !task.stepRun.step.isGang && countLostRuns(task, run) >= ISOLATION_LOSSES,
     phase: AttemptPhase.Running,
     isInherited: false,
+    inheritedWorkMs: 0,
     sentMs,
     confirmedMs: undefined,
     pacePercent: 100,
--- a/packages/jobs/src/crash_losses.ts
+++ b/packages/jobs/src/crash_losses.ts
@@ -139,12 +139,15 @@
     noticedMs?: number,
   ): void {
     const { task, run, worker, bornMs, sentMs, confirmedMs } = attempt;
+    const { isInherited } = attempt;
     const { info, id: workerId } = worker;
     // A worker that drains is about to leave; its end proves nothing.
     if (info.isDraining || hasWorkedLong(attempt, worker.lastReportMs)) return;
     const { address } = info;
     const startMs = confirmedMs ?? sentMs;
-    const isLate = (noticedMs ?? startMs) - startMs > LATE_LOSS_MS;
+    // When a run that no report has listed started is not known.
+    const isLate =
+      !isInherited && (noticedMs ?? startMs) - startMs > LATE_LOSS_MS;
     this.record(task, { run, workerId, address, bornMs }, evidence, isLate);
   }
 
@@ -325,8 +328,17 @@
 }
 
 /** Whether the run has worked for long, by a report at the given time. */
-function hasWorkedLong({ confirmedMs }: Attempt, reportMs: number): boolean {
-  return confirmedMs !== undefined && reportMs - confirmedMs >= CLEARING_RUN_MS;
+function hasWorkedLong(attempt: Attempt, reportMs: number): boolean {
+  return workedMsOf(attempt, reportMs) >= CLEARING_RUN_MS;
+}
+
+/** Time in ms that a run had worked by the last report before `reportMs`. */
+export function workedMsOf(
+  { confirmedMs, inheritedWorkMs }: Attempt,
+  reportMs: number,
+): number {
+  if (confirmedMs === undefined) return inheritedWorkMs;
+  return inheritedWorkMs + Math.max(0, reportMs - confirmedMs);
 }
 
 function isActive({ attempts }: Task, { run, workerId }: Loss): boolean {
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -191,12 +191,11 @@
     }
   }
 
-  /** Attaches a run that a former leader knew to a worker that does not answer. */
+  /** Attaches a run that a former leader knew to its worker. */
   adoptRun(
     worker: WorkerRecord,
     name: TaskName,
-    run: number,
-    nowMs: number,
+    { run, workedMs, nowMs }: { run: number; workedMs: number; nowMs: number },
   ): void {
     const record = this.jobs.get(name.jobId);
     const task = record && findTask(record, name);
@@ -205,6 +204,7 @@
     const attempt = this.#attach(task, run, worker, nowMs);
     attempt.confirmedMs = nowMs;
     attempt.isInherited = true;
+    attempt.inheritedWorkMs = workedMs;
   }
 
   /** Records that no run is left on a lost worker. */
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -27,6 +27,7 @@
 };
 const COMPLETE_MS = 3000;
 const NAME = { jobId: "a", occurrence: 0, step: 0, index: 0 };
+const RUN = { run: 1, workedMs: 0, nowMs: 0 };
 
 interface Fixture {
   readonly board: JobBoard;
@@ -47,7 +48,7 @@
     name: "an inherited run that the worker does not list never started",
     act: ({ board, add, report }) => {
       const record = add([{}]);
-      board.adoptRun(workerOf(board), NAME, 1, 0);
+      board.adoptRun(workerOf(board), NAME, RUN);
       assert.equal(taskOf(record).attempts.length, 1);
       report({});
       assert.equal(taskOf(record).attempts.length, 0);
@@ -57,7 +58,7 @@
     name: "an inherited run that the worker lists goes on",
     act: ({ board, add, report, stops }) => {
       const record = add([{}]);
-      board.adoptRun(workerOf(board), NAME, 1, 0);
+      board.adoptRun(workerOf(board), NAME, RUN);
       report({ running: [running(1)] });
       report({});
       assert.equal(taskOf(record).attempts.length, 1);
@@ -68,7 +69,7 @@
     name: "an inherited run is kept while the worker has more ends to report",
     act: ({ board, add, report }) => {
       const record = add([{}]);
-      board.adoptRun(workerOf(board), NAME, 1, 0);
+      board.adoptRun(workerOf(board), NAME, RUN);
       report({ hasMore: true });
       assert.equal(taskOf(record).attempts.length, 1);
     },
@@ -77,10 +78,10 @@
     name: "an inherited run of a finished job or an unknown task is left out",
     act: ({ board, add }) => {
       const record = add([{}]);
-      board.adoptRun(workerOf(board), { ...NAME, index: 7 }, 1, 0);
-      board.adoptRun(workerOf(board), { ...NAME, jobId: "b" }, 1, 0);
+      board.adoptRun(workerOf(board), { ...NAME, index: 7 }, RUN);
+      board.adoptRun(workerOf(board), { ...NAME, jobId: "b" }, RUN);
       board.cancelJob(record.job.id, 0);
-      board.adoptRun(workerOf(board), NAME, 1, 0);
+      board.adoptRun(workerOf(board), NAME, RUN);
       assert.equal(workerOf(board).attempts.size, 0);
     },
   },
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -188,7 +188,7 @@
 function isStoredRun(value: unknown): boolean {
   if (!Array.isArray(value)) return false;
   const [jobId, ...numbers] = value;
-  return isText(jobId) && numbers.length === 4 && numbers.every(isNumber);
+  return isText(jobId) && numbers.length === 5 && numbers.every(isNumber);
 }
 
 function isBoolean(value: unknown): boolean {
--- a/packages/jobs/src/job_rows_test.ts
+++ b/packages/jobs/src/job_rows_test.ts
@@ -24,7 +24,7 @@
   sequence: 7,
   isReleased: false,
   silent: { w: 100 },
-  silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2, 3]] } },
+  silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2, 3, 4]] } },
   leaseMs: 6000,
   pending: { q: 2 },
 };
@@ -60,7 +60,7 @@
     valid: {
       epoch: 3,
       workers: {
-        w: { bornMs: 5, leaseLeftMs: 100, runs: [["a", 0, 1, 2, 3]] },
+        w: { bornMs: 5, leaseLeftMs: 100, runs: [["a", 0, 1, 2, 3, 4]] },
       },
     },
     malformed: [
@@ -83,8 +83,8 @@
       { silent: { w: "100" } },
       { silentRuns: [] },
       { silentRuns: { w: { runs: [] } } },
-      { silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2]] } } },
-      { silentRuns: { w: { bornMs: 5, runs: [[1, 0, 1, 2, 3]] } } },
+      { silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2, 3]] } } },
+      { silentRuns: { w: { bornMs: 5, runs: [[1, 0, 1, 2, 3, 4]] } } },
       { leaseMs: "6000" },
       { pending: [] },
     ],
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -5,6 +5,8 @@
   step: number,
   index: number,
   run: number,
+  /** Time in ms that it had worked by the worker's last report. */
+  workedMs: number,
 ];
 
 /** What a leader knows of the runs on a worker. */
--- a/packages/jobs/src/stored_runs.ts
+++ b/packages/jobs/src/stored_runs.ts
@@ -1,4 +1,5 @@
 import type { Write } from "@laburnumtrack/core/table";
+import { workedMsOf } from "./crash_losses";
 import type { JobBoard } from "./job_board";
 import { RUNS_PREFIX } from "./job_rows";
 import type { RunsRow, StoredRun, WorkerRuns } from "./leadership_row";
@@ -82,8 +83,9 @@
     if (worker === undefined || worker.hasReported) continue;
     worker.bornMs = bornMs;
     worker.areRunsInherited = true;
-    for (const [jobId, occurrence, step, index, run] of runs) {
-      board.adoptRun(worker, { jobId, occurrence, step, index }, run, nowMs);
+    for (const [jobId, occurrence, step, index, run, workedMs] of runs) {
+      const name = { jobId, occurrence, step, index };
+      board.adoptRun(worker, name, { run, workedMs, nowMs });
     }
   }
 }
@@ -108,7 +110,9 @@
   return { bornMs, runs: [...attempts].map(toStoredRun) };
 }
 
-function toStoredRun({ task, run }: Attempt): StoredRun {
+function toStoredRun(attempt: Attempt): StoredRun {
+  const { task, run, worker } = attempt;
   const { jobId, occurrence, step, index } = taskNameOf(task);
-  return [jobId, occurrence, step, index, run];
+  const workedMs = Math.round(workedMsOf(attempt, worker.lastReportMs));
+  return [jobId, occurrence, step, index, run, workedMs];
 }
--- a/packages/jobs/src/stored_runs_test.ts
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -76,6 +76,30 @@
   });
 }
 
+// Guards against a task that is held to crash its worker although it had worked
+// for long before the leader changed.
+test("stored runs: the next leader knows how long a run had worked", () => {
+  const { board, tasks } = createBoard(1);
+  const [worker] = board.workers.values();
+  const [first, second] = tasks;
+  assert.ok(worker && first && second);
+  board.onStarted(board.onSent(first, 1, worker, 0), 1000);
+  board.onSent(second, 1, worker, 0);
+  worker.lastReportMs = 21_000;
+  const [row] = createRunRows([worker], { epoch: 1, nowMs: 21_500 });
+  const { workers } = readRuns({ value: row?.value ?? "" }).unwrap();
+  const next = createBoard(1);
+  const [nextWorker] = next.board.workers.values();
+  assert.ok(nextWorker);
+  nextWorker.hasReported = false;
+  adoptRuns(next.board, new Map(Object.entries(workers)), 500);
+  const worked = [...nextWorker.attempts].map((one) => one.inheritedWorkMs);
+  assert.deepEqual(worked, [20_000, 0]);
+  next.board.onLost(nextWorker);
+  assert.equal(next.tasks[0]?.losses.length, 0);
+  assert.equal(next.tasks[1]?.losses.length, 1);
+});
+
 test("stored runs: a worker is left out while ends on it are not stored", () => {
   const { board } = createBoard(1);
   const [worker] = board.workers.values();
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -26,6 +26,8 @@
   phase: AttemptPhase;
   /** It is known from a former leader only; no report has listed it yet. */
   isInherited: boolean;
+  /** Time in ms that it had worked when the leadership changed. */
+  inheritedWorkMs: number;
   /** Monotonic ms of the start order. */
   readonly sentMs: number;
   /** Monotonic ms at which the worker confirmed it; undefined until then. */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -480,6 +480,20 @@
     to: "if (this.#formerRoster.size >= 0) return;",
     test: TAKEOVER_CASES,
   },
+  {
+    name: "crash losses: time worked under a former leader counts",
+    file: "packages/jobs/src/crash_losses.ts",
+    from: "return inheritedWorkMs + Math.max(0, reportMs - confirmedMs);",
+    to: "return Math.max(0, reportMs - confirmedMs);",
+    test: "packages/jobs/src/stored_runs_test.ts",
+  },
+  {
+    name: "crash losses: a run that was taken over does not count as lost late",
+    file: "packages/jobs/src/crash_losses.ts",
+    from: "!isInherited && (noticedMs",
+    to: "(noticedMs",
+    test: CRASH_CASES,
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
