fix(leader): a worker's id may be the name of an inherited property

A registry entry under an id such as `constructor` or `__proto__` is an ordinary worker, but the rows keyed by worker id were read as if every property of an object were its own.

Callers would have seen: once such a worker was silent, its remaining lease was computed from the inherited value and stored as null. No process can decode that leadership row, so after the leader ended nobody led again and no job started. And the worker was always taken as listed as silent, so it never got a lease and ran nothing.

Cause: `held.row.silent[id]`, `worker.id in row.silent` and an assignment `silent[worker.id] = …`, which for `__proto__` defines nothing.

The virtual world takes ids of workers and a registry for such cases.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -36,6 +36,10 @@
   readonly capacities?: readonly number[];
   /** Longest lease of a worker in ms; 6 s by default. */
   readonly leaseMs?: number;
+  /** Ids of the first workers; the others are `w0`, `w1` and so on. */
+  readonly workerIds?: readonly string[];
+  /** Decodes the entries of workers; by default, each key names a worker. */
+  readonly registry?: WorkerRegistry;
 }
 
 const QUEUE = {
@@ -72,6 +76,7 @@
   readonly fleet: TaskFleetStandin;
   readonly entries: EntryPeer[] = [];
   readonly #desk: JobService;
+  readonly #registry: WorkerRegistry;
   readonly #jobIds: string[] = [];
   readonly #leaseMs: number;
   #processCount = 0;
@@ -81,8 +86,14 @@
     workers,
     capacities = [],
     leaseMs = DEFAULT_LEASE_MS,
+    workerIds = [],
+    registry = new RegistryStandin(),
   }: EntryWorldOptions) {
-    const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
+    const ids = Array.from(
+      { length: workers },
+      (_, index) => workerIds[index] ?? `w${index}`,
+    );
+    this.#registry = registry;
     this.#leaseMs = leaseMs;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
@@ -92,7 +103,7 @@
     });
     void this.table.commit({
       checks: [],
-      writes: ids.map((id) => ({ key: `workers/${id}`, value: id })),
+      writes: ids.map((id) => ({ key: `${registry.prefix}${id}`, value: id })),
     });
     for (let index = 0; index < entries; index += 1) {
       this.#addEntry(`e${index}`, index, capacities[index] ?? 1);
@@ -132,18 +143,18 @@
   /** Adds a worker; resolves once it is registered. */
   async addWorker(id: string): Promise<void> {
     this.fleet.add(id);
-    await this.#commitRow(`workers/${id}`, id);
+    await this.#commitEntry(id, id);
   }
 
   /** Announces that a worker will leave; resolves once that is registered. */
   async drainWorker(id: string): Promise<void> {
-    await this.#commitRow(`workers/${id}`, DRAINING);
+    await this.#commitEntry(id, DRAINING);
   }
 
   /** Ends a worker for good; resolves once its registration is removed. */
   async removeWorker(id: string): Promise<void> {
     this.fleet.leave(id);
-    await this.#commitRow(`workers/${id}`, null);
+    await this.#commitEntry(id, null);
   }
 
   /** Starts a new process of a member whose former process was stopped. */
@@ -155,6 +166,7 @@
 
   /** Lets workers that crash come back under a new id at their address. */
   renameCrashedWorkers(): void {
+    const { prefix } = this.#registry;
     let count = 0;
     this.fleet.onRestarted = (id, bornMs) => {
       count += 1;
@@ -162,8 +174,8 @@
       void this.table.commit({
         checks: [],
         writes: [
-          { key: `workers/${id}`, value: null },
-          { key: `workers/${next}`, value: `${bornMs}` },
+          { key: `${prefix}${id}`, value: null },
+          { key: `${prefix}${next}`, value: `${bornMs}` },
         ],
       });
       return next;
@@ -172,7 +184,12 @@
 
   /** Removes a worker from the registry. */
   async unregister(id: string): Promise<void> {
-    await this.writeRow(`workers/${id}`, null);
+    await this.writeEntry(id, null);
+  }
+
+  /** Writes the registry entry of a worker, or deletes it if the value is null. */
+  async writeEntry(id: string, value: string | null): Promise<void> {
+    await this.writeRow(`${this.#registry.prefix}${id}`, value);
   }
 
   /** Writes a row of the table, or deletes it if the value is null. */
@@ -219,6 +236,10 @@
     return this.fleet.history.filter((record) => record.end === end).length;
   }
 
+  async #commitEntry(id: string, value: string | null): Promise<void> {
+    await this.#commitRow(`${this.#registry.prefix}${id}`, value);
+  }
+
   async #commitRow(key: string, value: string | null): Promise<void> {
     await this.table.commit({ checks: [], writes: [{ key, value }] });
   }
@@ -241,7 +262,7 @@
     const leadership = new LeaderElection({
       clock,
       table: this.table.viewOf(name),
-      registry: new RegistryStandin(),
+      registry: this.#registry,
       port: this.fleet.viewOf(name),
       journal,
       metrics: new Metrics(),
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -230,7 +230,7 @@
     this.#storedRoster = sentRoster;
     for (const worker of rostered) worker.isRostered = true;
     for (const worker of workers) {
-      worker.isListedSilent = worker.id in row.silent;
+      worker.isListedSilent = Object.hasOwn(row.silent, worker.id);
     }
     for (const { worker, end, bornMs } of ends) {
       if (worker.bornMs === bornMs) worker.storedEndNumber = end;
@@ -261,13 +261,15 @@
    */
   #listSilent(): Record<string, number> {
     const nowMs = this.#options.clock.nowMs();
-    const silent: Record<string, number> = {};
+    const silent = new Map<string, number>();
     for (const worker of this.#options.workers()) {
       if (!worker.isSilent) continue;
       worker.isListedSilent = true;
-      silent[worker.id] = Math.max(0, Math.ceil(worker.leaseExpiryMs - nowMs));
+      const leftMs = Math.max(0, Math.ceil(worker.leaseExpiryMs - nowMs));
+      silent.set(worker.id, leftMs);
     }
-    return silent;
+    // Unlike an assignment, this also defines a property named `__proto__`.
+    return Object.fromEntries(silent);
   }
 
   /** Write of the pressure model, if one is due. */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -13,6 +13,7 @@
 const WORKER_LOSS_CASES = "packages/faults/src/worker_loss_cases_test.ts";
 const CRASH_CASES = "packages/faults/src/crash_cases_test.ts";
 const CRASH_LOSSES = "packages/jobs/src/crash_losses_test.ts";
+const WORKER_ID_CASES = "packages/faults/src/worker_id_cases_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
@@ -347,6 +348,20 @@
     to: "",
     test: LEADER_CASES,
   },
+  {
+    name: "the remaining lease of a silent worker is its own property",
+    file: "packages/leader/src/term.ts",
+    from: "const leftMs = silent.get(id);",
+    to: "const leftMs = held.row.silent[id];",
+    test: WORKER_ID_CASES,
+  },
+  {
+    name: "a worker is listed as silent by its own property",
+    file: "packages/leader/src/progress_store.ts",
+    from: "Object.hasOwn(row.silent, worker.id)",
+    to: "worker.id in row.silent",
+    test: WORKER_ID_CASES,
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
