--- a/packages/jobs/src/interference_model.ts
+++ b/packages/jobs/src/interference_model.ts
@@ -164,7 +164,7 @@
     nowMs: number,
     maxCost = Number.POSITIVE_INFINITY,
   ): number {
-    const share = step.resources.cpuMilli / worker.info.capacity.cpuMilli;
+    const share = step.resources.cpuMilli / worker.cpuCapacityMilli;
     let cost = 0;
     for (const state of this.#statesOf(worker, nowMs)) {
       const { attempt, image, limit, utilizations } = state;
@@ -329,7 +329,7 @@
 /** CPU share of its worker that a filler may use at its requested speed. */
 function activeShareOf({ task, worker, pacePercent }: Attempt): number {
   const { cpuMilli } = task.stepRun.step.resources;
-  return ((cpuMilli / worker.info.capacity.cpuMilli) * pacePercent) / 100;
+  return ((cpuMilli / worker.cpuCapacityMilli) * pacePercent) / 100;
 }
 
 /** CPU shares of a worker that its fillers use by its last report. */
@@ -339,7 +339,7 @@
     // The first reports of a run contain no measurement yet.
     share:
       filler.measurement > 0
-        ? filler.measurement / worker.info.capacity.cpuMilli
+        ? filler.measurement / worker.cpuCapacityMilli
         : activeShareOf(filler),
     sinceMs: filler.confirmedMs ?? filler.sentMs,
   }));
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -33,6 +33,7 @@
   readonly limit?: number;
 }
 
+const NOTHING = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
 const ALL_CORES = { cpuMilli: 16_000, memoryMb: 1000, accelerators: 0 };
 const FIVE_CORES = { cpuMilli: 5000, memoryMb: 1000, accelerators: 0 };
 const HALF = { cpuMilli: 8000, memoryMb: 1000, accelerators: 0 };
@@ -62,6 +63,18 @@
     jobs: [{ id: "a", steps: [{ count: 3, resources: HALF }] }],
     starts: ["a.0.0.0 w", "a.0.0.1 w"],
   },
+  {
+    name: "a worker whose capacity has shrunk to nothing gets no task",
+    workers: [["w"], ["x", { capacity: NOTHING }]],
+    jobs: [{ id: "a", steps: [{ count: 3, resources: HALF }] }],
+    starts: ["a.0.0.0 w", "a.0.0.1 w"],
+  },
+  {
+    name: "a serving task is placed beside workers without capacity",
+    workers: [["x", { capacity: NOTHING }], ["w"]],
+    jobs: [{ id: "a", steps: [{ targetMs: 100, resources: HALF }] }],
+    starts: ["a.0.0.0 w"],
+  },
   {
     name: "the queue with the higher priority goes first",
     workers: [["w"]],
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -43,8 +43,8 @@
     ? model.interferenceCostOf(step, worker, nowMs, costLimit)
     : 0;
   if (cost > costLimit) return undefined;
-  const { capacity, rack } = worker.info;
-  const cpuMilli = Math.max(1, capacity.cpuMilli);
+  const { rack } = worker.info;
+  const cpuMilli = worker.cpuCapacityMilli;
   let score =
     step.targetMs > 0
       ? // Packing serving tasks leaves other workers free for fillers.
@@ -99,7 +99,7 @@
   score -= images.size * SAME_IMAGE_SCORE;
   for (const { task } of listFillers(worker)) {
     const { image, resources } = task.stepRun.step;
-    const share = resources.cpuMilli / worker.info.capacity.cpuMilli;
+    const share = resources.cpuMilli / worker.cpuCapacityMilli;
     score -= model.interferenceOf(image, step.image) * share * FILLER_PENALTY;
   }
   return score;
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -176,6 +176,11 @@
     return Math.min(this.lastEndNumber, ...numbers);
   }
 
+  /** CPU to divide by for shares, in thousandths of a core; above zero. */
+  get cpuCapacityMilli(): number {
+    return Math.max(1, this.info.capacity.cpuMilli);
+  }
+
   /** Expected spare CPU, in thousandths of a core. */
   get spareCpuMilli(): number {
     const usedMilli = this.cpuMilli - UNUSED_FRACTION * this.servingMilli;
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -14,6 +14,7 @@
 const CRASH_CASES = "packages/faults/src/crash_cases_test.ts";
 const CRASH_LOSSES = "packages/jobs/src/crash_losses_test.ts";
 const WORKER_ID_CASES = "packages/faults/src/worker_id_cases_test.ts";
+const REGISTRY_CASES = "platform/src/platform_registry_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
@@ -362,6 +363,34 @@
     to: "worker.id in row.silent",
     test: WORKER_ID_CASES,
   },
+  {
+    name: "a registry entry with an odd field names no worker",
+    file: "platform/src/platform_registry.ts",
+    from: "if (oddField !== undefined) return malformed(oddField, value);",
+    to: "",
+    test: REGISTRY_CASES,
+  },
+  {
+    name: "a registry entry's address can be connected to",
+    file: "platform/src/platform_registry.ts",
+    from: "isText(value) && isHostPort(value)",
+    to: "isText(value)",
+    test: REGISTRY_CASES,
+  },
+  {
+    name: "a registry entry's numbers are in range",
+    file: "platform/src/platform_registry.ts",
+    from: "value >= 0 && value <= Number.MAX_SAFE_INTEGER",
+    to: "value !== null",
+    test: REGISTRY_CASES,
+  },
+  {
+    name: "a registry entry's id is carried unchanged by a header",
+    file: "platform/src/platform_registry.ts",
+    from: 'if (!WORKER_ID.test(id)) return malformed("id", id);',
+    to: "",
+    test: REGISTRY_CASES,
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
