fix(relay): one relay row with a port out of range does not stop the others

Callers would have seen: with a row such as 127.0.0.1:99999 among the relays, the leader of a large fleet used no relay at all and made all calls itself, and every 250 ms it opened further connections to the other relays that nothing closed.

Cause: the row's address was checked by its characters only. Connecting to such a port throws while the links are opened one after another, so the round ended before its links were recorded.

Evidence: relay_pool_test.ts failed for that address before, with "undefined !== 'a'": no link to the good relay within 3 s. Three new rows of relay_choice_test.ts failed too. The other addresses of relay_pool_test.ts and the row that is nested deeply passed before; they are guards. That the connections pile up was read from the code, not counted.

Why it works: the row is decoded by the same check of addresses as the registry, so the pool logs and ignores it. A capacity must be finite. One mutation takes the check out; the new case notices.

--- a/packages/relay/src/relay_choice_test.ts
+++ b/packages/relay/src/relay_choice_test.ts
@@ -83,6 +83,29 @@
     value: JSON.stringify({ ...entry("a", "x"), address: "10.0.0.1" }),
     isUsable: false,
   },
+  {
+    name: "a port out of range",
+    value: JSON.stringify({ ...entry("a", "x"), address: "10.0.0.1:99999" }),
+    isUsable: false,
+  },
+  {
+    name: "an address out of range",
+    value: JSON.stringify({ ...entry("a", "x"), address: "999.1.1.1:80" }),
+    isUsable: false,
+  },
+  {
+    name: "a capacity too large",
+    value: JSON.stringify(entry("a", "x", 7)).replace("7}", "1e999}"),
+    isUsable: false,
+  },
+  {
+    name: "a name nested deeply",
+    value: JSON.stringify(entry("a", "x")).replace(
+      '"a"',
+      `${"[".repeat(100_000)}${"]".repeat(100_000)}`,
+    ),
+    isUsable: false,
+  },
   {
     name: "a capacity of another type",
     value: JSON.stringify({ ...entry("a", "x"), capacity: "1" }),
--- a/packages/relay/src/relay_directory.ts
+++ b/packages/relay/src/relay_directory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
+import { isHostPort } from "@laburnumtrack/core/host_port";
 import type { Row, Table } from "@laburnumtrack/core/table";
 import type { Journal } from "@laburnumtrack/process/journal";
 import { Err, Ok, type Result } from "ts-results";
@@ -62,9 +63,9 @@
   const isValid =
     typeof entry.name === "string" &&
     typeof entry.address === "string" &&
-    /^[\d.]+:\d+$/.test(entry.address) &&
+    isHostPort(entry.address) &&
     typeof entry.failureDomain === "string" &&
-    typeof entry.capacity === "number";
+    Number.isFinite(entry.capacity);
   return isValid
     ? Ok(entry as RelayEntry)
     : Err(new Fault(FaultCode.Malformed, key));
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -391,6 +391,13 @@
     to: "",
     test: REGISTRY_CASES,
   },
+  {
+    name: "a relay's address can be connected to",
+    file: "packages/relay/src/relay_directory.ts",
+    from: "isHostPort(entry.address) &&",
+    to: "",
+    test: "packages/relay/src/relay_pool_test.ts",
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
