fix(platform): a row's value that is no text fails no other row

Callers would have seen: with one row in the registry whose value came back as anything but text, no process could read the list of workers. The read threw instead of failing, so the following of changes ended for good, and a new leader ended its term while loading. For a value that is an object with a `length`, the process allocated that many bytes.

Cause: the value of a row was passed on to the base64 decoder unchecked, and the body of a response was used without a check that it has rows. Bytes that are not UTF-8 were read with replacement characters, so an entry with such bytes in its zone or a label named a worker.

Values that are missing, null, empty or not base64 passed before. Whether the platform's store ever answers so was not seen; its rows are written by others too.

Why it works: a value that is not base64 of UTF-8 is decoded as empty, which each reader refuses as malformed and logs, and which is not a deletion. An answer without rows is `malformed`, which followers retry.

Three mutations take the checks out; the new cases notice all.

--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -15,6 +15,7 @@
 const CRASH_LOSSES = "packages/jobs/src/crash_losses_test.ts";
 const WORKER_ID_CASES = "packages/faults/src/worker_id_cases_test.ts";
 const REGISTRY_CASES = "platform/src/platform_registry_test.ts";
+const TABLE_CASES = "platform/src/platform_table_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
@@ -398,6 +399,27 @@
     to: "",
     test: "packages/relay/src/relay_pool_test.ts",
   },
+  {
+    name: "a row's value that is no text fails no other row",
+    file: "platform/src/platform_table.ts",
+    from: 'if (typeof value !== "string") return "";',
+    to: "",
+    test: TABLE_CASES,
+  },
+  {
+    name: "a row's value that is not UTF-8 is not read",
+    file: "platform/src/platform_table.ts",
+    from: 'isUtf8(bytes) ? bytes.toString("utf8") : "";',
+    to: 'bytes.toString("utf8");',
+    test: TABLE_CASES,
+  },
+  {
+    name: "an answer of the store without rows is a fault",
+    file: "platform/src/platform_table.ts",
+    from: "if (isValid) return",
+    to: "if (text !== undefined) return",
+    test: TABLE_CASES,
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
