fix(process): a read that throws does not end the following of rows

Callers would have seen: after one unexpected error in a read of the registry or of the configuration, the process kept to the rows that it knew: a leader learnt of no new worker for the rest of its term, and an entry process of no new configuration until it was restarted. While a term loaded its rows, such an error ended the term.

Cause: the follower guarded its listener, but not its own reads.

Evidence: the two new cases of row_follower_test.ts failed before: the follower ended with "RangeError: Maximum call stack size exceeded".

Why it works: an error of a read is a failed read, logged once for each outage with its stack and tried again.

One mutation takes the guard out; the new cases notice.

--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -1,10 +1,11 @@
 import type { Clock } from "@laburnumtrack/core/clock";
-import { FaultCode } from "@laburnumtrack/core/fault";
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import type {
   ChangedRow,
   FeedTable,
   Snapshot,
 } from "@laburnumtrack/core/feed_table";
+import { Err, type Result } from "ts-results";
 import type { Journal } from "./journal";
 
 /** Receives the rows under a prefix and their changes. */
@@ -68,7 +69,7 @@
   /** Reads a snapshot; false when the call fails or the snapshot is stale. */
   async load(): Promise<boolean> {
     const { table, prefix, listener } = this.#options;
-    const read = await table.snapshot(prefix);
+    const read = await catchErrors(() => table.snapshot(prefix));
     if (read.err) {
       this.#onFailure(read.val.message);
       return false;
@@ -99,7 +100,7 @@
     const after = this.#revision ?? 0;
     const waitMs =
       this.#firstFailureMs === undefined ? POLL_WAIT_MS : OUTAGE_POLL_WAIT_MS;
-    const read = await table.changes(prefix, after, waitMs);
+    const read = await catchErrors(() => table.changes(prefix, after, waitMs));
     if (signal.aborted) return true;
     if (read.err) {
       if (read.val.code === FaultCode.HistoryLost) {
@@ -161,3 +162,15 @@
     });
   }
 }
+
+/** Carries out a read; an unexpected error is a failed read, which is retried. */
+async function catchErrors<T>(
+  read: () => Promise<Result<T, Fault>>,
+): Promise<Result<T, Fault>> {
+  try {
+    return await read();
+  } catch (error) {
+    const text = error instanceof Error ? error.stack : String(error);
+    return Err(new Fault(FaultCode.OutcomeUnknown, text));
+  }
+}
--- a/packages/process/src/row_follower_test.ts
+++ b/packages/process/src/row_follower_test.ts
@@ -8,6 +8,8 @@
 import { createJournal } from "./journal";
 import { RowFollower } from "./row_follower";
 
+/** Reads that throw instead of failing, in a row. */
+const THROWN_READS = 3;
 /** Value at which the listener fails. */
 const BAD_VALUE = "bad";
 
@@ -123,3 +125,70 @@
     await running;
   });
 }
+
+/** Table whose reads throw as often as the counter says. */
+class ThrowingTable extends FeedTableStandin {
+  throwsLeft = 0;
+
+  override async snapshot(prefix: string) {
+    this.#throw();
+    return await super.snapshot(prefix);
+  }
+
+  override async changes(prefix: string, after: number, waitMs: number) {
+    this.#throw();
+    return await super.changes(prefix, after, waitMs);
+  }
+
+  #throw(): void {
+    if (this.throwsLeft === 0) return;
+    this.throwsLeft -= 1;
+    throw new RangeError("Maximum call stack size exceeded");
+  }
+}
+
+const THROW_CASES: readonly {
+  readonly name: string;
+  /** Time before the reads throw, in ms. */
+  readonly pauseMs: number;
+}[] = [
+  { name: "the first snapshot", pauseMs: 0 },
+  { name: "a read of changes", pauseMs: 1500 },
+];
+
+for (const { name, pauseMs } of THROW_CASES) {
+  // Guards against a follower that ends for good, so that its process keeps to
+  // the rows that it knew, or ends with an unhandled rejection.
+  test(`row follower: ${name} that throws is tried again`, async () => {
+    const clock = new VirtualClock();
+    const table = new ThrowingTable(clock);
+    const followedRows = new Map<string, string | undefined>();
+    const follower = new RowFollower({
+      clock,
+      table,
+      journal: createJournal("test", "fatal"),
+      prefix: "a/",
+      listener: {
+        onRow: ({ key, value }) => followedRows.set(key, value),
+      },
+    });
+    const stop = new AbortController();
+    if (pauseMs === 0) table.throwsLeft = THROWN_READS;
+    let failure: unknown;
+    const running = follower.run(stop.signal).catch((error: unknown) => {
+      failure = error;
+    });
+    await clock.run(clock.nowMs() + pauseMs);
+    if (pauseMs > 0) table.throwsLeft = THROWN_READS;
+    await clock.run(clock.nowMs() + 2500);
+    const writes = [{ key: "a/1", value: "x" }];
+    const done = table.commit({ checks: [], writes });
+    await clock.run(clock.nowMs() + 1500);
+    await done;
+    stop.abort();
+    await clock.run(clock.nowMs() + 2500);
+    await running;
+    assert.equal(failure, undefined);
+    assert.equal(followedRows.get("a/1"), "x");
+  });
+}
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -420,6 +420,13 @@
     to: "if (text !== undefined) return",
     test: TABLE_CASES,
   },
+  {
+    name: "a read that throws does not end the following of rows",
+    file: "packages/process/src/row_follower.ts",
+    from: "return await read();\n  } catch (error) {",
+    to: "return await read();\n  } catch (error) {\n    throw error;",
+    test: "packages/process/src/row_follower_test.ts",
+  },
   {
     name: "a silent worker's tasks wait for its lease to lapse",
     file: "packages/leader/src/worker_link.ts",
