fix(leader): a roster whose commit may still take effect is written anew

Callers could have had a task run twice. The leader then compared with the roster from before, wrote nothing when the worker was ready again, and gave it leases; the next leader took it for a worker that runs nothing.

Now the stored roster counts as unknown from the sending of such a commit until it is known to have succeeded, so the next commit writes it again. 'a worker that is back is on the stored roster before it gets a lease' failed before ('ran twice at a time', two tasks).

--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -201,6 +201,9 @@
       ? new Map(rostered.map(({ id, info }) => [id, info.address]))
       : this.#storedRoster;
     const sentMs = clock.nowMs();
+    // Until this commit is known to have succeeded, it is not known which roster
+    // is stored: it may still take effect.
+    if (isRosterNew) this.#storedRoster = undefined;
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
       writes: [
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -16,6 +16,7 @@
 const WORKER_ID_CASES = "packages/faults/src/worker_id_cases_test.ts";
 const REGISTRY_CASES = "platform/src/platform_registry_test.ts";
 const TABLE_CASES = "platform/src/platform_table_test.ts";
+const KNOWLEDGE_CASES = "packages/faults/src/takeover_knowledge_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
@@ -574,6 +575,13 @@
     to: "(noticedMs",
     test: CRASH_CASES,
   },
+  {
+    name: "a roster whose commit may still take effect is written anew",
+    file: "packages/leader/src/progress_store.ts",
+    from: "if (isRosterNew) this.#storedRoster = undefined;",
+    to: "",
+    test: KNOWLEDGE_CASES,
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
