fix(leader): a release does not end the right of leaders before

Callers could have had a task run twice.

Cause: a leader that was cut off from the table may order for 3.5 s more. Its successor waits for that; but when this one releases soon, the next leader took all former leaders for stopped, though only the last had, and started tasks of a worker whose lease the first still renewed. The same for a process that follows its own former instance.

Now the leadership row holds for how long leaders before the holder may still send orders, less with each commit, kept over releases. Evidence: 'a release after 0 (400) ms does not end the right of a leader that was cut off' failed before ('ran twice at a time').

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -60,7 +60,7 @@
 };
 const DEFAULT_LEASE_MS = 6000;
 /** How long the leader may send orders after its last commit. */
-const RIGHT_MS = 8000;
+const RIGHT_MS = 3500;
 const RESTORE_MS = 100;
 /** Step fields that a case does not set. */
 const STEP_DEFAULTS = { count: 4, estimateMs: 500 };
--- a/packages/faults/src/takeover_knowledge_test.ts
+++ b/packages/faults/src/takeover_knowledge_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
-import { EntryWorld } from "./entry_world";
+import { type EntryPeer, EntryWorld } from "./entry_world";
 
 const JOB_ID = "00000000000000be";
 const LONG_RUNNING = { isLongRunning: true };
@@ -36,3 +36,68 @@
   await world.advance(12_000);
   assert.deepEqual(world.findViolations(), []);
 });
+
+/** Time that the second leader leads before it is stopped, in ms. */
+const SHORT_TERMS_MS = [0, 400];
+
+for (const leadMs of SHORT_TERMS_MS) {
+  // Guards against a second run while a leader before the last may still renew
+  // the lease of the first.
+  test(`takeover: a release after ${leadMs} ms does not end the right of a leader that was cut off`, async () => {
+    const world = new EntryWorld({ entries: 3, workers: 3 });
+    await world.advance(2000);
+    await world.submit(JOB_ID, SPEC, [{ ...LONG_RUNNING, count: 3 }]);
+    await world.advance(1000);
+    const first = world.leader;
+    assert.ok(first);
+    const others = world.entries.filter((entry) => entry !== first);
+    world.table.refused.add(first.name);
+    for (const id of ["w1", "w2"]) {
+      world.fleet.unreachablePairs.add(`${first.name} ${id}`);
+    }
+    for (const { name } of others) {
+      world.fleet.unreachablePairs.add(`${name} w0`);
+    }
+    const second = await awaitLeader(world, first);
+    await world.advance(leadMs);
+    void second.stop();
+    await world.advance(20_000);
+    assert.deepEqual(world.findViolations(), []);
+  });
+}
+
+// Guards against a second run: a leader that ended without a release has started
+// more than the release before it tells.
+test("takeover: runs stored with an earlier release are not taken for current ones", async () => {
+  const world = new EntryWorld({ entries: 4, workers: 3 });
+  await world.advance(2000);
+  const first = world.leader;
+  assert.ok(first);
+  void first.stop();
+  await world.advance(2500);
+  const second = world.leader;
+  assert.ok(second && second !== first);
+  await world.submit(JOB_ID, SPEC, [{ ...LONG_RUNNING, count: 6 }]);
+  await world.advance(1000);
+  second.clock.freeze(60_000);
+  for (const { name } of world.entries) {
+    if (name !== second.name) world.fleet.unreachablePairs.add(`${name} w0`);
+  }
+  await world.advance(25_000);
+  assert.ok(world.fleet.history.some(({ worker }) => worker === "w0"));
+  assert.deepEqual(world.findViolations(), []);
+});
+
+/** Advances time until an entry other than the former leader leads. */
+async function awaitLeader(
+  world: EntryWorld,
+  former: EntryPeer,
+): Promise<EntryPeer> {
+  for (;;) {
+    const leader = world.entries.find(
+      (entry) => entry !== former && entry.leadership.term !== undefined,
+    );
+    if (leader !== undefined) return leader;
+    await world.advance(1);
+  }
+}
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -97,6 +97,7 @@
     silent: isRecordOf(isNumber),
     silentRuns: (value) =>
       value === undefined || isRecordOf(isWorkerRuns)(value),
+    formerRightMs: (value) => value === undefined || isNumber(value),
     leaseMs: (value) => value === undefined || isNumber(value),
     pending: isRecordOf(isNumber),
   });
--- a/packages/jobs/src/job_rows_test.ts
+++ b/packages/jobs/src/job_rows_test.ts
@@ -86,6 +86,7 @@
       { silentRuns: { w: { bornMs: 5, runs: [["a", 0, 1, 2, 3]] } } },
       { silentRuns: { w: { bornMs: 5, runs: [[1, 0, 1, 2, 3, 4]] } } },
       { leaseMs: "6000" },
+      { formerRightMs: null },
       { pending: [] },
     ],
   },
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -46,6 +46,11 @@
    * before it; absent in rows of versions that grant what workers accept.
    */
   readonly leaseMs?: number;
+  /**
+   * Time in ms for which leaders before the holder may still send orders; absent
+   * in rows of versions that do not keep it.
+   */
+  readonly formerRightMs?: number;
   /** The holder has stopped sending orders to workers. */
   readonly isReleased: boolean;
   /**
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -184,6 +184,7 @@
     const former = this.#revision === 0 ? undefined : this.#view?.row;
     const formerLeaseMs =
       former === undefined ? 0 : (former.leaseMs ?? leaseMs);
+    const formerRightMs = this.#formerRightMs(former);
     const row: LeadershipRow = {
       holder: member,
       instance,
@@ -192,6 +193,7 @@
       epoch: (former?.epoch ?? 0) + 1,
       sequence: (former?.sequence ?? 0) + 1,
       isReleased: false,
+      formerRightMs,
       leaseMs: Math.max(formerLeaseMs, grantedLeaseMs(leaseMs)),
       silent: former?.silent ?? {},
       silentRuns: former?.silentRuns ?? {},
@@ -213,17 +215,25 @@
       former: former?.holder,
       silentMs: Math.round(sentMs - this.#changedMs),
     });
-    const wasReleased =
-      former === undefined || former.isReleased || this.#isOwnFormerInstance();
     return {
       held,
       acquireSentMs: sentMs,
       acquiredMs: clock.nowMs(),
-      wasReleased,
+      formerRightMs,
       formerLeaseMs,
     };
   }
 
+  /** Time in ms for which leaders so far may still send orders. */
+  #formerRightMs(former: LeadershipRow | undefined): number {
+    if (former === undefined) return 0;
+    const hasStopped = former.isReleased || this.#isOwnFormerInstance();
+    // A leader that has stopped may have taken over from one that has not.
+    return hasStopped
+      ? (former.formerRightMs ?? 0)
+      : this.#options.leaderLeaseMs;
+  }
+
   /** Finds out whether an acquiring commit without an answer took effect. */
   async #verifyAcquired(
     row: LeadershipRow,
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -40,6 +40,8 @@
   readonly formerSilent: () => Record<string, number>;
   /** All workers that this leader knows. */
   readonly workers: () => Iterable<WorkerRecord>;
+  /** Time in ms for which former leaders may still send orders. */
+  readonly formerRightMs: () => number;
   /** Longest lease in ms that a worker may hold now. */
   readonly longestLeaseMs: () => number;
   /** Number of jobs of which nothing has started, by queue. */
@@ -185,6 +187,7 @@
       sequence: this.#sequence,
       isReleased,
       successor,
+      formerRightMs: this.#options.formerRightMs(),
       leaseMs: this.#options.longestLeaseMs(),
       ...this.#describeSilent(isWhole),
       // Until the jobs are read, the counts of the former leader are kept.
--- a/packages/leader/src/progress_store_test.ts
+++ b/packages/leader/src/progress_store_test.ts
@@ -81,6 +81,7 @@
       acquireSentMs: 0,
       formerSilent: () => ({}),
       workers: () => [],
+      formerRightMs: () => 0,
       longestLeaseMs: () => 6000,
       pending: () => ({}),
       exportModel: () => ({}),
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -54,8 +54,8 @@
   readonly acquireSentMs: number;
   /** Monotonic ms at which that commit was known to be successful. */
   readonly acquiredMs: number;
-  /** Whether the former leader is known to send no more orders. */
-  readonly wasReleased: boolean;
+  /** Time in ms from then for which former leaders may still send orders. */
+  readonly formerRightMs: number;
   /** Longest lease in ms that former leaders granted. */
   readonly formerLeaseMs: number;
 }
@@ -157,6 +157,7 @@
       formerSilent: () => this.#listFormerSilent(),
       workers: () => this.#board.workers.values(),
       longestLeaseMs: () => this.#longestLeaseMs(),
+      formerRightMs: () => this.#formerRightMs(),
       pending: () => countPending(this.#board),
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
@@ -197,7 +198,7 @@
     const { epoch } = this.#start.held.row;
     journal.info("This scheduler started to lead.", {
       epoch,
-      wasReleased: this.#start.wasReleased,
+      formerRightMs: this.#start.formerRightMs,
     });
     const onAbort = () => this.#termAbort.abort();
     signal.addEventListener("abort", onAbort);
@@ -279,11 +280,16 @@
 
   /** Monotonic ms by which all leases of former leaders have expired. */
   get #formerLeasesEndMs(): number {
-    const { acquiredMs, wasReleased, formerLeaseMs } = this.#start;
-    const { leaderLeaseMs } = this.#options;
+    const { acquiredMs, formerRightMs, formerLeaseMs } = this.#start;
     // A worker that does not answer may hold a lease of a former leader.
-    const grantedMs = acquiredMs + (wasReleased ? 0 : leaderLeaseMs);
-    return latestExpiryMs(grantedMs, formerLeaseMs);
+    return latestExpiryMs(acquiredMs + formerRightMs, formerLeaseMs);
+  }
+
+  /** Time in ms for which former leaders may still send orders. */
+  #formerRightMs(): number {
+    const { acquiredMs, formerRightMs } = this.#start;
+    const elapsedMs = this.#options.clock.nowMs() - acquiredMs;
+    return Math.max(0, Math.ceil(formerRightMs - elapsedMs));
   }
 
   /** Longest lease in ms that a worker may hold now. */
@@ -507,9 +513,9 @@
    */
   #findNewJobsAbove(nowMs: number): number {
     if (this.#newJobsAbove !== undefined) return this.#newJobsAbove;
-    const { held, acquiredMs, wasReleased } = this.#start;
-    if (wasReleased) this.#newJobsAbove = held.revision;
-    else if (nowMs > latestExpiryMs(acquiredMs, this.#options.leaderLeaseMs)) {
+    const { held, acquiredMs, formerRightMs } = this.#start;
+    if (formerRightMs === 0) this.#newJobsAbove = held.revision;
+    else if (nowMs > latestExpiryMs(acquiredMs, formerRightMs)) {
       this.#newJobsAbove = this.#progress.revision;
     }
     return this.#newJobsAbove ?? Number.POSITIVE_INFINITY;
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -473,8 +473,8 @@
   {
     name: "jobs that a lost leader may know wait until its right has ended",
     file: "packages/leader/src/term.ts",
-    from: "if (wasReleased) this.#newJobsAbove = held.revision;",
-    to: "if (wasReleased || acquiredMs > 0) this.#newJobsAbove = held.revision;",
+    from: "if (formerRightMs === 0) this.#newJobsAbove = held.revision;",
+    to: "if (acquiredMs > 0) this.#newJobsAbove = held.revision;",
     test: LEADER_CASES,
   },
   {
@@ -582,6 +582,13 @@
     to: "",
     test: KNOWLEDGE_CASES,
   },
+  {
+    name: "a release does not end the right of leaders before",
+    file: "packages/leader/src/leader_election.ts",
+    from: "? (former.formerRightMs ?? 0)",
+    to: "? 0",
+    test: KNOWLEDGE_CASES,
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
