fix(leader): leaders order no longer than leases last

Callers could have had a task run twice with order_right_ms above 6.5 s, which settings allow.

Cause: a leader that is cut off from the table and a worker sees the worker's lease expire and starts its tasks elsewhere, on its right to order, while its successor renews that lease. The right is now at most as long as the leases that are granted. The default of 3.5 s is not affected.

Evidence: 'a release after 400 ms does not end a right of 8000 ms of one that was cut off' fails without it ('ran twice at a time').

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -36,6 +36,8 @@
   readonly capacities?: readonly number[];
   /** Longest lease of a worker in ms; 6 s by default. */
   readonly leaseMs?: number;
+  /** Time that a leader may order without the table, in ms; 3.5 s by default. */
+  readonly rightMs?: number;
   /** Ids of the first workers; the others are `w0`, `w1` and so on. */
   readonly workerIds?: readonly string[];
   /** Decodes the entries of workers; by default, each key names a worker. */
@@ -60,7 +62,7 @@
 };
 const DEFAULT_LEASE_MS = 6000;
 /** How long the leader may send orders after its last commit. */
-const RIGHT_MS = 3500;
+const DEFAULT_RIGHT_MS = 3500;
 const RESTORE_MS = 100;
 /** Step fields that a case does not set. */
 const STEP_DEFAULTS = { count: 4, estimateMs: 500 };
@@ -79,6 +81,7 @@
   readonly #registry: WorkerRegistry;
   readonly #jobIds: string[] = [];
   readonly #leaseMs: number;
+  readonly #rightMs: number;
   #processCount = 0;
 
   constructor({
@@ -86,6 +89,7 @@
     workers,
     capacities = [],
     leaseMs = DEFAULT_LEASE_MS,
+    rightMs = DEFAULT_RIGHT_MS,
     workerIds = [],
     registry = new RegistryStandin(),
   }: EntryWorldOptions) {
@@ -95,6 +99,7 @@
     );
     this.#registry = registry;
     this.#leaseMs = leaseMs;
+    this.#rightMs = rightMs;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -268,7 +273,7 @@
       metrics: new Metrics(),
       config: () => CONFIG,
       leaseMs: this.#leaseMs,
-      leaderLeaseMs: RIGHT_MS,
+      leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
       member: name,
       instance: `${name}/${this.#processCount}`,
--- a/packages/faults/src/takeover_knowledge_test.ts
+++ b/packages/faults/src/takeover_knowledge_test.ts
@@ -37,17 +37,24 @@
   assert.deepEqual(world.findViolations(), []);
 });
 
-/** Time that the second leader leads before it is stopped, in ms. */
-const SHORT_TERMS_MS = [0, 400];
+/**
+ * Time that the second leader leads before it is stopped, and for which leaders
+ * may order without the table, in ms.
+ */
+const SHORT_TERMS = [
+  { leadMs: 0, rightMs: 3500 },
+  { leadMs: 400, rightMs: 3500 },
+  { leadMs: 400, rightMs: 8000 },
+];
 
-for (const leadMs of SHORT_TERMS_MS) {
+for (const { leadMs, rightMs } of SHORT_TERMS) {
   // Guards against a second run while a leader before the last may still renew
   // the lease of the first.
-  test(`takeover: a release after ${leadMs} ms does not end the right of a leader that was cut off`, async () => {
-    const world = new EntryWorld({ entries: 3, workers: 3 });
+  test(`takeover: a release after ${leadMs} ms does not end a right of ${rightMs} ms of one that was cut off`, async () => {
+    const world = new EntryWorld({ entries: 3, workers: 3, rightMs });
     await world.advance(2000);
     await world.submit(JOB_ID, SPEC, [{ ...LONG_RUNNING, count: 3 }]);
-    await world.advance(1000);
+    await world.advance(12_000);
     const first = world.leader;
     assert.ok(first);
     const others = world.entries.filter((entry) => entry !== first);
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -60,7 +60,13 @@
   #tableLatencyMs = 0;
 
   constructor(options: LeaderElectionOptions) {
-    this.#options = options;
+    const { leaderLeaseMs, leaseMs } = options;
+    this.#options = {
+      ...options,
+      // Otherwise a leader that is cut off could outlast its workers' leases as it
+      // sees them, while its successor renews them.
+      leaderLeaseMs: Math.min(leaderLeaseMs, grantedLeaseMs(leaseMs)),
+    };
     this.#succession = new Succession(options);
     this.#changedMs = options.clock.nowMs();
   }
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -589,6 +589,13 @@
     to: "? 0",
     test: KNOWLEDGE_CASES,
   },
+  {
+    name: "leaders order no longer than leases last",
+    file: "packages/leader/src/leader_election.ts",
+    from: "leaderLeaseMs: Math.min(leaderLeaseMs, grantedLeaseMs(leaseMs)),",
+    to: "leaderLeaseMs,",
+    test: KNOWLEDGE_CASES,
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
