fix(jobs): only long-running tasks that were at work go before others

Callers of urgent jobs could have waited behind a job of a lower priority of which one task ran and another had never found room; it also held room back for as long as it did not fit.

A task counts as interrupted once a run of it is known to have been at work. After a takeover all tasks of a job that had started count, since the rows do not tell. Gangs give up reserved room when they are planned. 'a long-running task that was never at work keeps its priority' failed before (b instead of a).

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -205,6 +205,7 @@
     attempt.confirmedMs = nowMs;
     attempt.isInherited = true;
     attempt.inheritedWorkMs = workedMs;
+    task.wasAtWork = true;
   }
 
   /** Records that no run is left on a lost worker. */
@@ -381,6 +382,7 @@
     const record = this.jobs.get(ended.task.jobId);
     const task = record && findTask(record, ended.task);
     if (record === undefined || task === undefined) return;
+    task.wasAtWork = true;
     task.lastRun = Math.max(task.lastRun, ended.run);
     if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
     const attempt = task.attempts.find(
@@ -459,6 +461,7 @@
   /** Records that a worker has confirmed a start. */
   onStarted(attempt: Attempt, nowMs: number): void {
     attempt.confirmedMs ??= nowMs;
+    attempt.task.wasAtWork = true;
     if (attempt.phase === AttemptPhase.Starting) {
       attempt.phase = AttemptPhase.Running;
     }
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -1,6 +1,5 @@
 import { criticalPathMs, isLongRunning, type Job } from "./job";
-import { JobPhase } from "./job_state";
-import { isStepDone, type JobRecord, type StepRun } from "./task";
+import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
 
 /** Time within which a job should complete, in ms. */
 export function objectiveMs(record: JobRecord): number {
@@ -44,7 +43,9 @@
   const objective = objectiveMs(record);
   const fromMs = firstMs(record.job);
   return {
-    isInterrupted: record.occurrences.flat().some(isInterrupted),
+    isInterrupted:
+      isLongRunning(record.job) &&
+      record.occurrences.flat().some(({ tasks }) => tasks.some(isInterrupted)),
     // The result of a long-running job never expires.
     isExpired:
       !isLongRunning(record.job) && wallMs > fromMs + EXPIRY_FACTOR * objective,
@@ -55,14 +56,14 @@
 }
 
 /**
- * Whether a step of a started long-running job has tasks without a run. Whoever
- * uses them is served by nobody meanwhile.
+ * Whether a long-running task was at work and has no run. Whoever uses it is
+ * served by nobody meanwhile.
  */
-export function isInterrupted({ record, step, tasks }: StepRun): boolean {
+export function isInterrupted(task: Task): boolean {
   return (
-    record.phase === JobPhase.Running &&
-    step.isLongRunning &&
-    tasks.some(({ attempts }) => attempts.length === 0)
+    task.wasAtWork &&
+    task.attempts.length === 0 &&
+    task.stepRun.step.isLongRunning
   );
 }
 
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -24,8 +24,9 @@
 /** Creates the record of a job from its stored rows. */
 export function createJobRecord(
   job: Job,
-  { revision, queue, state, runFloor }: JobRecordOptions,
+  options: JobRecordOptions,
 ): JobRecord {
+  const { revision, queue, state } = options;
   const record: JobRecord = {
     job,
     revision,
@@ -48,7 +49,7 @@
         idleSinceMs: undefined,
       };
       for (let index = 0; index < step.count; index += 1) {
-        stepRun.tasks.push(createTask(stepRun, index, runFloor));
+        stepRun.tasks.push(createTask(stepRun, index, options));
       }
       return stepRun;
     });
@@ -96,7 +97,13 @@
   return stepRun?.tasks[place.index];
 }
 
-function createTask(stepRun: StepRun, index: number, runFloor: number): Task {
+function createTask(
+  stepRun: StepRun,
+  index: number,
+  { runFloor, state }: JobRecordOptions,
+): Task {
+  // Which tasks of a job ran under former leaders is not stored.
+  const wasAtWork = state?.phase === JobPhase.Running;
   return {
     stepRun,
     index,
@@ -104,6 +111,7 @@
     failedRuns: new Set(),
     failedOn: new Set(),
     losses: [],
+    wasAtWork,
     lastRun: runFloor,
     checkpoint: "",
     attempts: [],
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -147,14 +147,14 @@
   }
 }
 
-/** Reserves room for tasks of a long-running job that were at work before. */
+/** Reserves room for long-running tasks that were at work before. */
 function reserveForInterrupted(
   { stepRun, pool }: StepPlan,
   waiting: readonly Task[],
 ): void {
-  if (!isInterrupted(stepRun)) return;
+  if (stepRun.step.isFiller) return;
   for (const task of waiting) {
-    if (task.attempts.length === 0) reserveRoom(task, pool.workers, undefined);
+    if (isInterrupted(task)) reserveRoom(task, pool.workers, undefined);
   }
 }
 
@@ -195,6 +195,7 @@
   { stepRun, pool, starts, options }: StepPlan,
   waiting: readonly Task[],
 ): void {
+  for (const task of waiting) releaseRoom(task);
   const open = stepRun.tasks.filter((task) => !task.isDone);
   if (waiting.length < open.length) return;
   const run = 1 + Math.max(...open.map(({ lastRun }) => lastRun));
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -3,7 +3,6 @@
 import { InterferenceModel } from "./interference_model";
 import type { Job, Repeat, Step } from "./job";
 import { JobBoard } from "./job_board";
-import { JobPhase } from "./job_state";
 import type { Queue } from "./queue_config";
 import { planStarts } from "./start_planner";
 import type { Attempt } from "./task";
@@ -392,9 +391,9 @@
     ],
     starts: [],
   });
-  const record = board.jobs.get("b");
-  assert.ok(record);
-  record.phase = JobPhase.Running;
+  const task = board.jobs.get("b")?.occurrences[0]?.[0]?.tasks[0];
+  assert.ok(task);
+  task.wasAtWork = true;
   const starts = planStarts(board, {
     nowMs: 0,
     wallMs: 0,
@@ -406,6 +405,35 @@
   assert.deepEqual(starts.map(describe), ["b.0.0.0 w"]);
 });
 
+// Guards against jobs of a lower priority that jump the queue.
+test("start planner: a long-running task that was never at work keeps its priority", () => {
+  const resources = ALL_CORES;
+  const board = createBoard({
+    name: "",
+    workers: [["w"], ["x"]],
+    jobs: [
+      { id: "b", steps: [{ resources, isLongRunning: true, count: 2 }] },
+      { id: "a", steps: [{ resources }], priority: 0 },
+    ],
+    starts: [],
+  });
+  const record = board.jobs.get("b");
+  const task = record?.occurrences[0]?.[0]?.tasks[0];
+  const worker = board.workers.get("w");
+  assert.ok(record && task && worker);
+  record.queue = record.queue && { ...record.queue, priority: 2 };
+  board.onStarted(board.onSent(task, 1, worker, 0), 0);
+  const starts = planStarts(board, {
+    nowMs: 0,
+    wallMs: 0,
+    limit: 100,
+    model: new InterferenceModel(),
+    isUsable: () => true,
+    areRunsKnown: () => true,
+  });
+  assert.deepEqual(starts.map(describe), ["a.0.0.0 x"]);
+});
+
 test("start planner: tasks of a gang share a run number and a checkpoint", () => {
   const board = createBoard({
     name: "",
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -65,6 +65,8 @@
   readonly failedOn: Set<string>;
   /** Runs that ended with their worker, or may have. */
   readonly losses: Loss[];
+  /** Whether a run of it is known to have been at work. */
+  wasAtWork: boolean;
   /** Highest run number so far. */
   lastRun: number;
   /** Last reported checkpoint; empty if there is none. */
