fix(leader): emptied workers stay off the roster as they leave; small leadership rows

An emptied worker was listed again for the moment between the removal of its registry entry and its removal from the board; a leader lost then would have made the next one wait for it. The leadership row limited the runs on silent workers but not the workers: near 700 of them it would have passed the table's limit for a row, and no commit would have succeeded. Shown by two cases of stored_runs_test.ts, which failed before.

--- a/packages/jobs/src/stored_runs.ts
+++ b/packages/jobs/src/stored_runs.ts
@@ -10,6 +10,8 @@
 const MAX_RUNS_PER_ROW = 700;
 /** Most workers in one row. */
 const MAX_WORKERS_PER_ROW = 250;
+/** Most workers whose runs the leadership row lists. */
+const MAX_SILENT_WORKERS = 200;
 /**
  * Most runs that the leadership row lists, which is written often. The runs of a
  * worker that does not fit are unknown to the next leader.
@@ -29,11 +31,13 @@
 ): Record<string, WorkerRuns> {
   const entries: [string, WorkerRuns][] = [];
   let left = MAX_SILENT_RUNS;
+  let places = MAX_SILENT_WORKERS;
   for (const worker of workers) {
     const { isSilent, attempts } = worker;
-    if (!isSilent || attempts.size > left || !isComplete(worker, ends))
-      continue;
+    if (!isSilent || places === 0 || attempts.size > left) continue;
+    if (!isComplete(worker, ends)) continue;
     left -= attempts.size;
+    places -= 1;
     entries.push([worker.id, describeRuns(worker)]);
   }
   return Object.fromEntries(entries);
--- a/packages/jobs/src/stored_runs_test.ts
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -139,3 +139,21 @@
   assert.equal(adopted.length, tasks.length);
   assert.ok([...other.board.workers.values()].every((one) => one.areRunsKnown));
 });
+
+// Guards against a leadership row that the table rejects because it is too large.
+test("stored runs: the leadership row lists a limited number of workers", () => {
+  const { board } = createBoard(710);
+  for (const worker of board.workers.values()) worker.isSilent = true;
+  const silent = listSilentRuns(board.workers.values(), { areAllStored: true });
+  assert.equal(Object.keys(silent).length, 200);
+});
+
+// Guards against a wait for a worker that has left empty.
+test("stored runs: an emptied worker is evacuated also once it has left the registry", () => {
+  const { board } = createBoard(1);
+  const [worker] = board.workers.values();
+  assert.ok(worker);
+  assert.equal(worker.isEvacuated, false);
+  worker.isRegistered = false;
+  assert.equal(worker.isEvacuated, true);
+});
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -77,12 +77,12 @@
   }
 
   /**
-   * Whether it is leaving and has nothing that matters any more: no run is
-   * active, none will start, and the ends of all runs are stored.
+   * Whether it is leaving or has left, and has nothing that matters any more: no
+   * run is active, none will start, and the ends of all runs are stored.
    */
   get isEvacuated(): boolean {
     return (
-      this.isLeaving &&
+      (this.isLeaving || !this.isRegistered) &&
       this.areRunsKnown &&
       !this.mayHaveRuns &&
       this.storedEndNumber >= this.lastEndNumber
