fix(jobs): runs on leaving workers move only where and when they may start

Callers could have seen long-running tasks down for longer than if they had stayed.

Now only tasks that may start are moved; gangs stay together; fillers move only to a worker that may take them; a reservation holds until its worker leaves or its task runs elsewhere; and room is looked for in the pool of the job's queue. Evidence: 'a task does not leave its worker before it may start elsewhere' and the new cases of evacuation_test.ts.

--- a/packages/faults/src/takeover_knowledge_test.ts
+++ b/packages/faults/src/takeover_knowledge_test.ts
@@ -2,9 +2,12 @@
 import { test } from "node:test";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
 import { type EntryPeer, EntryWorld } from "./entry_world";
+import { findLongGaps } from "./run_violations";
 
 const JOB_ID = "00000000000000be";
 const LONG_RUNNING = { isLongRunning: true };
+/** Time that a move may take when everything answers, in ms. */
+const MAX_MOVE_MS = 3000;
 const SPEC = "work=600000";
 
 // Guards against a second run while the first goes on: a commit that takes a
@@ -95,6 +98,26 @@
   assert.deepEqual(world.findViolations(), []);
 });
 
+// Guards against a long-running task that is stopped before it may start again.
+test("takeover: a task does not leave its worker before it may start elsewhere", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 5 });
+  await world.advance(2000);
+  await world.submit(JOB_ID, SPEC, [{ ...LONG_RUNNING, count: 4 }]);
+  await world.advance(1000);
+  const [first] = world.fleet.history;
+  assert.ok(first);
+  const silent = first.worker === "w0" ? "w1" : "w0";
+  world.leader?.clock.freeze(60_000);
+  world.fleet.leave(silent);
+  await world.advance(3000);
+  const draining = world.drainWorker(first.worker);
+  await world.advance(9000);
+  await draining;
+  const moved = world.fleet.history.filter(({ worker }) => worker !== silent);
+  assert.ok(first.endMs !== undefined, "the task has not moved");
+  assert.deepEqual(findLongGaps(moved, world.clock.nowMs(), MAX_MOVE_MS), []);
+});
+
 /** Advances time until an entry other than the former leader leads. */
 async function awaitLeader(
   world: EntryWorld,
--- a/packages/jobs/src/evacuation.ts
+++ b/packages/jobs/src/evacuation.ts
@@ -1,7 +1,7 @@
 import type { JobBoard } from "./job_board";
 import { isRoomFree, releaseUnused, reserveRoom } from "./reservations";
 import { type CandidateOptions, StepCandidates } from "./step_candidates";
-import { type Attempt, AttemptPhase } from "./task";
+import { type Attempt, AttemptPhase, type JobRecord } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
 /** Input of {@linkcode planEvacuation} besides the board. */
@@ -9,6 +9,8 @@
   extends Omit<CandidateOptions, "isPoolBusy"> {
   /** Whether new tasks may be placed on the worker. */
   readonly isUsable: (worker: WorkerRecord) => boolean;
+  /** Whether tasks of the job may start; else those that move would wait. */
+  readonly areRunsKnown: (record: JobRecord) => boolean;
 }
 
 /**
@@ -23,8 +25,8 @@
   board: JobBoard,
   options: EvacuationOptions,
 ): Attempt[] {
-  releaseUnused(board, options.isUsable);
-  const movable = listMovable(board, options.nowMs);
+  releaseUnused(board);
+  const movable = listMovable(board, options);
   if (movable.length === 0) return [];
   const usable = [...board.workers.values()].filter(options.isUsable);
   return movable.filter((attempt) => {
@@ -34,11 +36,15 @@
 }
 
 /** Lists the runs that will not end before their worker leaves. */
-function listMovable(board: JobBoard, nowMs: number): Attempt[] {
+function listMovable(
+  board: JobBoard,
+  { nowMs, areRunsKnown }: EvacuationOptions,
+): Attempt[] {
   const movable: Attempt[] = [];
   for (const worker of board.workers.values()) {
     if (!worker.isLeaving || worker.isSilent) continue;
     for (const attempt of worker.attempts) {
+      if (!areRunsKnown(attempt.task.stepRun.record)) continue;
       if (isMovable(attempt, worker.leavesAtMs - nowMs)) movable.push(attempt);
     }
   }
@@ -48,28 +54,32 @@
 function isMovable(attempt: Attempt, timeLeftMs: number): boolean {
   if (attempt.phase !== AttemptPhase.Running) return false;
   const { step } = attempt.task.stepRun;
+  // Moving one task of a gang breaks the others, for which no room is reserved.
+  if (step.isGang) return false;
   if (step.isLongRunning) return true;
-  // Moving any other run throws away work that it may still complete, and
-  // moving one task of a gang breaks the others.
-  if (!step.isCheckpointing || step.isGang) return false;
+  // Moving any other run throws away work that it may still complete.
+  if (!step.isCheckpointing) return false;
   const leftMs = step.estimateMs * (1 - attempt.percent / 100);
   return leftMs > timeLeftMs;
 }
 
 function reserveElsewhere(
-  { task, worker }: Attempt,
+  { task }: Attempt,
   usable: readonly WorkerRecord[],
   options: EvacuationOptions,
 ): void {
   if (task.reservedOn !== undefined) return;
   const { stepRun } = task;
-  const pool = usable.filter(({ info }) => info.pool === worker.info.pool);
+  const poolName = stepRun.record.queue?.pool ?? "";
+  const pool = usable.filter(({ info }) => info.pool === poolName);
   const candidates = new StepCandidates(stepRun, pool, {
     ...options,
     isPoolBusy: true,
   });
   const free = candidates.choose();
-  // Other tasks than long-running ones soon find room without holding it back.
-  const others = stepRun.step.isLongRunning ? pool : [];
+  const { isLongRunning, isFiller } = stepRun.step;
+  // Other tasks soon find room without holding it back; for a filler, room that
+  // becomes free says nothing about the serving tasks that it would slow.
+  const others = isLongRunning && !isFiller ? pool : [];
   reserveRoom(task, others, free);
 }
--- a/packages/jobs/src/evacuation_test.ts
+++ b/packages/jobs/src/evacuation_test.ts
@@ -19,6 +19,8 @@
   readonly moved: readonly number[];
   /** Changes the situation before the plan. */
   readonly prepare?: (situation: Situation) => void;
+  /** Whether the job's tasks may start; true by default. */
+  readonly areRunsKnown?: boolean;
 }
 
 interface Situation {
@@ -69,6 +71,32 @@
       leaving.isSilent = true;
     },
   },
+  {
+    name: "a task stays until it may start elsewhere",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [],
+    areRunsKnown: false,
+  },
+  {
+    name: "a long-running task of a gang stays",
+    step: { ...LONG_RUNNING, isGang: true },
+    places: 1,
+    moved: [],
+  },
+  {
+    name: "a task stays while the worker with room for it is gone",
+    step: LONG_RUNNING,
+    places: 1,
+    moved: [],
+    prepare: ({ attempts, others: [other] }) => {
+      const [first] = attempts;
+      assert.ok(first && other);
+      reserveRoom(first.task, [], other);
+      other.isRegistered = false;
+      other.info = createWorkerInfo(other.id, { isDraining: true });
+    },
+  },
   {
     name: "a task stays while no other worker has room",
     step: LONG_RUNNING,
@@ -134,7 +162,8 @@
   },
 ];
 
-for (const { name, step, places, moved, prepare } of CASES) {
+for (const given of CASES) {
+  const { name, step, places, moved, prepare, areRunsKnown = true } = given;
   // Guards against tasks that end with a worker whose leaving was announced.
   test(`evacuation: ${name}`, () => {
     const listener = { onChanged() {}, onStop() {}, onEnd() {} };
@@ -151,6 +180,7 @@
       nowMs: NOW_MS,
       wallMs: NOW_MS,
       model: new InterferenceModel(),
+      areRunsKnown: () => areRunsKnown,
       isUsable: ({ info: { isDraining } }) => !isDraining,
     });
     assert.deepEqual(
@@ -199,6 +229,60 @@
   assert.deepEqual(moved, [0, 1]);
 });
 
+// Guards against a task that is stopped and finds its room taken.
+test("evacuation: room stays reserved while its worker takes no new tasks for a moment", () => {
+  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+  const info = createWorkerInfo("leaving", { isDraining: true });
+  const leaving = board.addWorker(info);
+  board.addWorker(createWorkerInfo("w0"));
+  const half = { ...ALL_CORES, cpuMilli: 8000 };
+  const step = createStep({ ...LONG_RUNNING, resources: half });
+  const [attempt] = startAll(board, "a", step, leaving);
+  assert.ok(attempt);
+  addJob(board, "b", createStep({ count: 4, resources: half }));
+  const options = {
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    limit: 100,
+    model: new InterferenceModel(),
+    isUsable: ({ info: { isDraining } }: WorkerRecord) => !isDraining,
+    areRunsKnown: () => true,
+  };
+  assert.equal(planEvacuation(board, options).length, 1);
+  board.stop(attempt, "its worker is leaving");
+  planEvacuation(board, { ...options, isUsable: () => false });
+  const shorter = planStarts(board, options);
+  board.onRefused(attempt, 0);
+  const moved = planStarts(board, options);
+  assert.deepEqual([shorter.length, moved.length], [1, 1]);
+});
+
+// Guards against a filler that is stopped although no worker may take it.
+test("evacuation: a long-running filler stays while it would slow serving tasks", () => {
+  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+  const info = createWorkerInfo("leaving", { isDraining: true });
+  const leaving = board.addWorker(info);
+  const other = board.addWorker(createWorkerInfo("w0"));
+  const serving = createStep({ ...LONG_RUNNING, targetMs: 100, image: "i" });
+  const [served] = startAll(board, "s", serving, other);
+  assert.ok(served);
+  served.percent = 100;
+  served.measurement = 500;
+  served.overSinceMs = 0;
+  const filler = { isLongRunning: true, isFiller: true, image: "x" };
+  startAll(board, "f", createStep(filler), leaving);
+  const moves = planEvacuation(board, {
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    model: new InterferenceModel(),
+    isUsable: ({ info: { isDraining } }) => !isDraining,
+    areRunsKnown: () => true,
+  });
+  assert.deepEqual(moves, []);
+});
+
 /** Adds a job with the step, all of whose tasks run on the worker. */
 function startAll(
   board: JobBoard,
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -5,8 +5,9 @@
 import type { WorkerRecord } from "./worker_record";
 
 /**
- * Reserves room for a long-running task. Where none is free, it holds back what
- * shorter tasks leave, so that these do not take it bit by bit.
+ * Reserves room for the next run of a task: on `free` if there is such a worker,
+ * else on the one of `workers` that will have room soonest. What shorter tasks
+ * leave there is held back, so that others do not take it bit by bit.
  */
 export function reserveRoom(
   task: Task,
@@ -38,21 +39,21 @@
 }
 
 /** Releases reservations that are of no use any more. */
-export function releaseUnused(
-  board: JobBoard,
-  isUsable: (worker: WorkerRecord) => boolean,
-): void {
+export function releaseUnused(board: JobBoard): void {
   for (const worker of board.workers.values()) {
-    if (worker.reservations.size === 0) continue;
-    const isKept = isUsable(worker);
+    const isKept = worker.isRegistered && !worker.info.isDraining;
     for (const task of worker.reservations) {
-      const isSettled = task.attempts.some((one) => !one.worker.isLeaving);
-      const isOver = task.isDone || isFinal(task.stepRun.record.phase);
-      if (!isKept || isSettled || isOver) releaseRoom(task);
+      if (!isKept || !needsRoom(task)) releaseRoom(task);
     }
   }
 }
 
+/** Whether the task waits, or has its only run on a worker that is leaving. */
+function needsRoom({ isDone, attempts, stepRun }: Task): boolean {
+  if (isDone || isFinal(stepRun.record.phase)) return false;
+  return attempts.every(({ worker }) => worker.isLeaving);
+}
+
 /**
  * The worker that will have room soonest: the one that lacks least, among those
  * whose long-running tasks and reservations leave enough.
--- a/packages/leader/src/worker_group.ts
+++ b/packages/leader/src/worker_group.ts
@@ -15,6 +15,7 @@
   Leadership,
   WorkerRuns,
 } from "@laburnumtrack/jobs/leadership_row";
+import { releaseRoom } from "@laburnumtrack/jobs/reservations";
 import { adoptRuns } from "@laburnumtrack/jobs/stored_runs";
 import type { Attempt } from "@laburnumtrack/jobs/task";
 import type { RegisteredWorker } from "@laburnumtrack/jobs/task_worker";
@@ -225,6 +226,7 @@
       if (worker.isRegistered || worker.mayHaveRuns) continue;
       // It may still run tasks of a former leader.
       if (!worker.areRunsKnown && !isSettled) continue;
+      for (const task of worker.reservations) releaseRoom(task);
       board.workers.delete(worker.id);
       this.#links.get(worker.id)?.removal.abort();
       this.#links.delete(worker.id);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -596,6 +596,27 @@
     to: "leaderLeaseMs,",
     test: KNOWLEDGE_CASES,
   },
+  {
+    name: "only tasks that were at work go first",
+    file: "packages/jobs/src/job_order.ts",
+    from: "task.wasAtWork &&",
+    to: "",
+    test: "packages/jobs/src/start_planner_test.ts",
+  },
+  {
+    name: "a run moves only when its task may start",
+    file: "packages/jobs/src/evacuation.ts",
+    from: "if (!areRunsKnown(attempt.task.stepRun.record)) continue;",
+    to: "",
+    test: KNOWLEDGE_CASES,
+  },
+  {
+    name: "room stays reserved over a backoff of its worker",
+    file: "packages/jobs/src/reservations.ts",
+    from: "const isKept = worker.isRegistered && !worker.info.isDraining;",
+    to: "const isKept = false;",
+    test: "packages/jobs/src/evacuation_test.ts",
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
@@ -606,8 +627,8 @@
   {
     name: "long-running tasks that are down go first",
     file: "packages/jobs/src/job_order.ts",
-    from: "isInterrupted: record.occurrences.flat().some(isInterrupted),",
-    to: "isInterrupted: false,",
+    from: "tasks.some(isInterrupted)",
+    to: "tasks.length < 0",
     test: "packages/jobs/src/start_planner_test.ts",
   },
   {
