test(http_ports): time limits of the JSON client pass when the test says so

Seen: in one full `npm test` beside a busy machine, "a request that expires in the queue is never sent" got outcome_unknown instead of store_unavailable for the second request, and the file hung until the runner's limit of 300 s.

Cause: the test's timing; the client was right. Both requests have a limit of 150 ms, each from its own call. When the first expires, its connection is closed and the second has its turn. If the calls are some milliseconds apart, the second is sent before its own limit, the server receives it, and "unknown" is true.

The hang: client and server were closed only after the assertions, and a listening server keeps the process alive.

Change: the limits are mocked timers, which pass once the server has received the request that holds the connection. The case is the same: same limits, made at once, the first expires and its connection is closed, the second is still queued. A new case covers the schedule that was seen: sent when the one before it expires, so unknown. Client and server are closed by hooks; a wait for something that never comes ends after 60 s.

As strict: what the server received is compared by path instead of counted; the wait of 150 ms stays, and a last request queued behind the others must arrive, so that a late one would come before it.

--- a/packages/http_ports/src/json_client_test.ts
+++ b/packages/http_ports/src/json_client_test.ts
@@ -1,81 +1,119 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
-import { test } from "node:test";
+import { type TestContext, test } from "node:test";
 import { FaultCode } from "@laburnumtrack/core/fault";
 import { JsonClient } from "./json_client";
 
 const TIMEOUT_MS = 150;
+/** Ends a test that waits for something that never comes. */
+const TEST_TIMEOUT_MS = 60_000;
 const RESPONSE = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\netag: e1\r\n\r\n{}";
 
 interface Case {
   readonly name: string;
   /** Handles a request that the server has received. */
   readonly serve: (socket: Socket) => void;
-  /** Requests sent at once over the single connection. */
-  readonly calls: number;
+  /**
+   * Time limits of the requests sent at once over the single connection;
+   * undefined is the client's, `TIMEOUT_MS`.
+   */
+  readonly limitsMs: readonly (number | undefined)[];
+  /**
+   * `TIMEOUT_MS` pass once for each element, as soon as the server has received
+   * that many requests; no time passes otherwise.
+   */
+  readonly passAt: readonly number[];
   /** Fault of each call, in order; undefined is a response. */
   readonly expected: readonly (FaultCode | undefined)[];
-  /** Requests that the server must have received in the end. */
-  readonly received: number;
+  /** Paths that the server must have received in the end: the calls' numbers. */
+  readonly received: readonly string[];
 }
 
 const CASES: readonly Case[] = [
   {
     name: "a response is complete with status, text and etag",
     serve: (socket) => socket.write(RESPONSE),
-    calls: 1,
+    limitsMs: [undefined],
+    passAt: [],
     expected: [undefined],
-    received: 1,
+    received: ["/0"],
   },
   {
     name: "a request without a response has an unknown outcome",
     serve: () => {},
-    calls: 1,
+    limitsMs: [undefined],
+    passAt: [1],
     expected: [FaultCode.OutcomeUnknown],
-    received: 1,
+    received: ["/0"],
   },
   {
     name: "a connection that ends before the response leaves the outcome unknown",
     serve: (socket) => socket.destroy(),
-    calls: 1,
+    limitsMs: [undefined],
+    passAt: [],
     expected: [FaultCode.OutcomeUnknown],
-    received: 1,
+    received: ["/0"],
   },
   {
     name: "a response that breaks off leaves the outcome unknown",
     serve: (socket) => {
       socket.end("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}");
     },
-    calls: 1,
+    limitsMs: [undefined],
+    passAt: [],
     expected: [FaultCode.OutcomeUnknown],
-    received: 1,
+    received: ["/0"],
   },
   {
     name: "a request that expires in the queue is never sent",
     serve: () => {},
-    calls: 2,
+    limitsMs: [undefined, undefined],
+    passAt: [1],
     expected: [FaultCode.OutcomeUnknown, FaultCode.StoreUnavailable],
-    received: 1,
+    received: ["/0"],
+  },
+  {
+    name: "a request sent when the one before it expires has an unknown outcome",
+    serve: () => {},
+    limitsMs: [undefined, 2 * TIMEOUT_MS],
+    passAt: [1, 2],
+    expected: [FaultCode.OutcomeUnknown, FaultCode.OutcomeUnknown],
+    received: ["/0", "/1"],
   },
 ];
 
-for (const { name, serve, calls, expected, received } of CASES) {
-  test(`JSON client: ${name}`, async () => {
-    let requests = 0;
+for (const { name, serve, limitsMs, passAt, expected, received } of CASES) {
+  test(`JSON client: ${name}`, { timeout: TEST_TIMEOUT_MS }, async (t) => {
+    // Requests made at once expire at once: with real timers, the second one
+    // may be sent in between.
+    t.mock.timers.enable({ apis: ["setTimeout"] });
+    const paths: string[] = [];
     const server = createServer((socket) => {
       socket.on("error", () => {});
-      socket.on("data", () => {
-        requests += 1;
-        serve(socket);
+      socket.on("data", (chunk) => {
+        paths.push(/^POST (\S+)/.exec(String(chunk))?.[1] ?? "");
+        // Whatever follows is answered, so that the last request gets through.
+        if (paths.length > received.length) socket.write(RESPONSE);
+        else serve(socket);
+        server.emit("path");
       });
     });
-    const origin = await listen(server);
-    const client = createClient();
-    const results = await Promise.all(
-      Array.from({ length: calls }, () =>
-        client.call({ method: "POST", url: `${origin}/path`, body: {} }),
-      ),
+    const origin = await listen(t, server);
+    const client = createClient(t);
+    const calls = limitsMs.map((timeoutMs, number) =>
+      client.call({
+        method: "POST",
+        url: `${origin}/${number}`,
+        body: {},
+        timeoutMs,
+      }),
     );
+    for (const count of passAt) {
+      while (paths.length < count) await once(server, "path");
+      t.mock.timers.tick(TIMEOUT_MS);
+    }
+    const results = await Promise.all(calls);
     const faults = results.map((result) =>
       result.err ? result.val.code : undefined,
     );
@@ -84,33 +122,40 @@
       if (result.err) continue;
       assert.deepEqual(result.val, { status: 200, text: "{}", etag: "e1" });
     }
-    // Whatever is sent late would arrive by then.
+    // Whatever is sent late would arrive before a request queued behind it, or
+    // while time passes.
+    const last = await client.call({ method: "POST", url: `${origin}/last` });
+    assert.ok(last.ok);
+    t.mock.timers.tick(TIMEOUT_MS);
+    t.mock.timers.reset();
     await new Promise((resolve) => setTimeout(resolve, TIMEOUT_MS));
-    assert.equal(requests, received);
-    await client.close();
-    server.close();
+    assert.deepEqual(paths, [...received, "/last"]);
   });
 }
 
-test("JSON client: a refused connection means that nothing was sent", async () => {
+test("JSON client: a refused connection means that nothing was sent", async (t) => {
   const server = createServer();
-  const origin = await listen(server);
+  const origin = await listen(t, server);
   await new Promise((resolve) => server.close(resolve));
-  const client = createClient();
+  const client = createClient(t);
   const result = await client.call({ method: "GET", url: `${origin}/path` });
   assert.equal(result.err && result.val.code, FaultCode.StoreUnavailable);
-  await client.close();
 });
 
-function createClient(): JsonClient {
-  return new JsonClient({
+/** A client that is closed after the test, also when the test fails. */
+function createClient(t: TestContext): JsonClient {
+  const client = new JsonClient({
     timeoutMs: TIMEOUT_MS,
     connections: 1,
     name: "test",
   });
+  t.after(() => client.close());
+  return client;
 }
 
-async function listen(server: Server): Promise<string> {
+/** Listens until the test ends, also when it fails; returns the origin. */
+async function listen(t: TestContext, server: Server): Promise<string> {
+  t.after(() => server.close());
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
   });
