--- a/packages/faults/src/takeover_knowledge_test.ts
+++ b/packages/faults/src/takeover_knowledge_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { LEADER_KEY, RUNS_PREFIX } from "@laburnumtrack/jobs/job_rows";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
 import { type EntryPeer, EntryWorld } from "./entry_world";
 import { findLongGaps } from "./run_violations";
@@ -118,6 +119,40 @@
   assert.deepEqual(findLongGaps(moved, world.clock.nowMs(), MAX_MOVE_MS), []);
 });
 
+for (const leadMs of [0, 200]) {
+  // Guards against a second run while a lease from an earlier version still lasts.
+  test(`takeover: longer leases of an earlier version are waited for when the next leader stops after ${leadMs} ms`, async () => {
+    const world = new EntryWorld({ entries: 4, workers: 2, leaseMs: 10_000 });
+    await world.advance(2000);
+    await world.submit(JOB_ID, SPEC, [LONG_RUNNING]);
+    await world.advance(500);
+    const longest = { acknowledged: 0, leaseUntilMs: 1e9, waitMs: 0 };
+    void world.fleet.renew({ id: "w0", address: "" }, { ...longest, epoch: 1 });
+    await world.advance(50);
+    world.fleet.unreachable.add("w0");
+    const { leader } = world;
+    assert.ok(leader);
+    for (const { name } of world.entries) {
+      if (name !== leader.name) world.table.refusedCommits.add(name);
+    }
+    void leader.stop();
+    await world.advance(200);
+    const reading = world.table.get([LEADER_KEY]);
+    await world.advance(10);
+    const [row] = (await reading).unwrap();
+    const { leaseMs, silentRuns, ...former } = JSON.parse(row?.value ?? "{}");
+    assert.deepEqual([leaseMs, typeof silentRuns], [6000, "object"]);
+    await world.writeRow(LEADER_KEY, JSON.stringify(former));
+    await world.writeRow(`${RUNS_PREFIX}0`, null);
+    world.table.refusedCommits.clear();
+    const second = await awaitLeader(world, leader);
+    await world.advance(leadMs);
+    void second.stop();
+    await world.advance(15_000);
+    assert.deepEqual(world.findViolations(), []);
+  });
+}
+
 /** Advances time until an entry other than the former leader leads. */
 async function awaitLeader(
   world: EntryWorld,
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -299,7 +299,7 @@
       min: 1000,
       max: 600_000,
       defaultText: "6000",
-      help: "Length of a worker's lease; the worker may allow less.",
+      help: "Longest lease that workers accept; 6000 ms at most are granted.",
     },
     {
       key: "order_right_ms",
@@ -308,7 +308,7 @@
       min: 1000,
       max: 600_000,
       defaultText: "3500",
-      help: "How long a leader orders without a word from the table.",
+      help: "How long a leader orders without a word from the table; at most as long as a lease.",
     },
     {
       key: "restore_ms",
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -17,6 +17,14 @@
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
+import type { FormerLeases } from "./former_leases";
+import {
+  encodeRoster,
+  isRosterOf,
+  rosterOf,
+  type StoredRoster,
+  updateRostered,
+} from "./stored_roster";
 
 /** The leadership row that this process wrote, with its revision. */
 export interface HeldLeadership {
@@ -33,17 +41,9 @@
   readonly held: HeldLeadership;
   /** Monotonic ms at which the commit that acquired leadership was sent. */
   readonly acquireSentMs: number;
-  /**
-   * Remaining leases of workers that did not answer the former leader, by id, in
-   * ms.
-   */
-  readonly formerSilent: () => Record<string, number>;
   /** All workers that this leader knows. */
   readonly workers: () => Iterable<WorkerRecord>;
-  /** Time in ms for which former leaders may still send orders. */
-  readonly formerRightMs: () => number;
-  /** Longest lease in ms that a worker may hold now. */
-  readonly longestLeaseMs: () => number;
+  readonly formerLeases: FormerLeases;
   /** Number of jobs of which nothing has started, by queue. */
   readonly pending: () => Record<string, number>;
   /** Exports the pressure model for the next leader. */
@@ -93,7 +93,7 @@
   /** Whether the stored state was read; until then it is not overwritten. */
   #isStateLoaded = false;
   /** Addresses of workers by id, as last stored by this leader. */
-  #storedRoster: ReadonlyMap<string, string> | undefined;
+  #storedRoster: StoredRoster | undefined;
   #modelWrittenMs = Number.NEGATIVE_INFINITY;
   #isLost = false;
   #isFailing = false;
@@ -187,8 +187,8 @@
       sequence: this.#sequence,
       isReleased,
       successor,
-      formerRightMs: this.#options.formerRightMs(),
-      leaseMs: this.#options.longestLeaseMs(),
+      formerRightMs: this.#options.formerLeases.rightMs,
+      leaseMs: this.#options.formerLeases.longestMs,
       ...this.#describeSilent(isWhole),
       // Until the jobs are read, the counts of the former leader are kept.
       pending: this.#isStateLoaded
@@ -197,12 +197,10 @@
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
-    const rostered = selectRostered(workers);
+    const rostered = updateRostered(workers);
     const isRosterNew =
-      this.#isStateLoaded && !isSameRoster(this.#storedRoster, rostered);
-    const sentRoster = isRosterNew
-      ? new Map(rostered.map(({ id, info }) => [id, info.address]))
-      : this.#storedRoster;
+      this.#isStateLoaded && !isRosterOf(this.#storedRoster, rostered);
+    const sentRoster = isRosterNew ? rosterOf(rostered) : this.#storedRoster;
     const sentMs = clock.nowMs();
     // Until this commit is known to have succeeded, it is not known which roster
     // is stored: it may still take effect.
@@ -217,7 +215,7 @@
           ? createRunRows(workers, { epoch: row.epoch, nowMs: sentMs })
           : []),
         ...(isRosterNew
-          ? [{ key: ROSTER_KEY, value: encodeRoster(rostered) }]
+          ? [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }]
           : []),
       ],
     });
@@ -250,11 +248,11 @@
   #describeSilent(
     areAllStored: boolean,
   ): Pick<Leadership, "silent" | "silentRuns"> {
-    const { formerSilent, held, workers } = this.#options;
+    const { formerLeases, held, workers } = this.#options;
     // Until the workers are read, the former leader's word is kept.
     if (!this.#isStateLoaded) {
       const { silentRuns = {} } = held.row;
-      return { silent: formerSilent(), silentRuns };
+      return { silent: formerLeases.listSilent(), silentRuns };
     }
     const silent = this.#listSilent();
     const silentRuns = listSilentRuns(workers(), { areAllStored });
@@ -353,38 +351,6 @@
   }
 }
 
-/**
- * Encodes the addresses of all workers, sorted by id, so equal sets compare
- * equal.
- */
-function isSameRoster(
-  stored: ReadonlyMap<string, string> | undefined,
-  workers: readonly WorkerRecord[],
-): boolean {
-  return (
-    stored?.size === workers.length &&
-    workers.every(({ id, info }) => stored.get(id) === info.address)
-  );
-}
-
-function encodeRoster(workers: readonly WorkerRecord[]): string {
-  const entries = workers
-    .map(({ id, info }) => [id, info.address] as const)
-    .sort(([a], [b]) => (a < b ? -1 : 1));
-  return JSON.stringify({ roster: Object.fromEntries(entries) });
-}
-
-/**
- * Workers that may hold a lease. Others get none until a commit lists them
- * again, so that the next leader need not wait for them.
- */
-function selectRostered(workers: readonly WorkerRecord[]): WorkerRecord[] {
-  for (const worker of workers) {
-    if (worker.isEvacuated) worker.isRostered = false;
-  }
-  return workers.filter(({ isEvacuated }) => !isEvacuated);
-}
-
 /** Write of the leadership row. */
 export function leadershipWrite(row: Leadership): Write {
   return { key: LEADER_KEY, value: JSON.stringify(row) };
--- a/packages/leader/src/progress_store_test.ts
+++ b/packages/leader/src/progress_store_test.ts
@@ -12,6 +12,7 @@
   TableFault,
 } from "@laburnumtrack/standins/feed_table_standin";
 import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
+import { FormerLeases } from "./former_leases";
 import { leadershipWrite, ProgressStore } from "./progress_store";
 
 const ID = "00000000000000aa";
@@ -79,10 +80,15 @@
       metrics: new Metrics(),
       held: { row: ROW, revision },
       acquireSentMs: 0,
-      formerSilent: () => ({}),
       workers: () => [],
-      formerRightMs: () => 0,
-      longestLeaseMs: () => 6000,
+      formerLeases: new FormerLeases({
+        clock,
+        acceptedMs: 6000,
+        acquiredMs: 0,
+        rightMs: 0,
+        leaseMs: 0,
+        silent: {},
+      }),
       pending: () => ({}),
       exportModel: () => ({}),
       onFinalStored: () => {
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -15,6 +15,7 @@
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { BackgroundTasks } from "./background_tasks";
+import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
 import { type HeldLeadership, ProgressStore } from "./progress_store";
@@ -105,6 +106,7 @@
 export class Term {
   readonly #options: TermOptions;
   readonly #start: TermStart;
+  readonly #formerLeases: FormerLeases;
   readonly #board: JobBoard;
   readonly #progress: ProgressStore;
   readonly #leaderLease: LeaderLease;
@@ -136,6 +138,14 @@
     this.#planSignal = new Signal(clock);
     this.#background = new BackgroundTasks(journal);
     this.#commits = new BackgroundTasks(journal);
+    this.#formerLeases = new FormerLeases({
+      clock,
+      acceptedMs: options.leaseMs,
+      acquiredMs: start.acquiredMs,
+      rightMs: start.formerRightMs,
+      leaseMs: start.formerLeaseMs,
+      silent: start.held.row.silent,
+    });
     this.#board = this.#createBoard();
     this.#rowCloser = new RowCloser({ clock, table });
     this.#runMonitor = new RunMonitor({
@@ -154,10 +164,8 @@
       ...options,
       held: start.held,
       acquireSentMs: start.acquireSentMs,
-      formerSilent: () => this.#listFormerSilent(),
       workers: () => this.#board.workers.values(),
-      longestLeaseMs: () => this.#longestLeaseMs(),
-      formerRightMs: () => this.#formerRightMs(),
+      formerLeases: this.#formerLeases,
       pending: () => countPending(this.#board),
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
@@ -278,41 +286,6 @@
     return this.#isFenced || this.#progress.isLost;
   }
 
-  /** Monotonic ms by which all leases of former leaders have expired. */
-  get #formerLeasesEndMs(): number {
-    const { acquiredMs, formerRightMs, formerLeaseMs } = this.#start;
-    // A worker that does not answer may hold a lease of a former leader.
-    return latestExpiryMs(acquiredMs + formerRightMs, formerLeaseMs);
-  }
-
-  /** Time in ms for which former leaders may still send orders. */
-  #formerRightMs(): number {
-    const { acquiredMs, formerRightMs } = this.#start;
-    const elapsedMs = this.#options.clock.nowMs() - acquiredMs;
-    return Math.max(0, Math.ceil(formerRightMs - elapsedMs));
-  }
-
-  /** Longest lease in ms that a worker may hold now. */
-  #longestLeaseMs(): number {
-    const ownMs = grantedLeaseMs(this.#options.leaseMs);
-    const { clock } = this.#options;
-    return clock.nowMs() < this.#formerLeasesEndMs
-      ? Math.max(ownMs, this.#start.formerLeaseMs)
-      : ownMs;
-  }
-
-  /** Remaining leases of workers that did not answer the former leader, in ms. */
-  #listFormerSilent(): Record<string, number> {
-    const { held, acquiredMs } = this.#start;
-    const elapsedMs = this.#options.clock.nowMs() - acquiredMs;
-    return Object.fromEntries(
-      Object.entries(held.row.silent).map(([id, leftMs]) => [
-        id,
-        Math.max(0, Math.ceil(leftMs - elapsedMs)),
-      ]),
-    );
-  }
-
   #createBoard(): JobBoard {
     const { held, acquiredMs } = this.#start;
     return new JobBoard(
@@ -335,7 +308,6 @@
 
   #createWorkers(): WorkerGroup {
     const { held, acquiredMs } = this.#start;
-    const expiryMs = this.#formerLeasesEndMs;
     return new WorkerGroup({
       ...this.#options,
       board: this.#board,
@@ -344,7 +316,7 @@
       termSignal: this.#termAbort.signal,
       held: held.row,
       silentExpiryMs: (leftMs) => acquiredMs + leftMs,
-      maxExpiryMs: expiryMs,
+      maxExpiryMs: this.#formerLeases.endMs,
       link: {
         ...this.#options,
         board: this.#board,
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -549,7 +549,7 @@
   },
   {
     name: "evacuated workers leave the roster",
-    file: "packages/leader/src/progress_store.ts",
+    file: "packages/leader/src/stored_roster.ts",
     from: "return workers.filter(({ isEvacuated }) => !isEvacuated);",
     to: "return [...workers];",
     test: TAKEOVER_CASES,
@@ -617,6 +617,20 @@
     to: "const isKept = false;",
     test: "packages/jobs/src/evacuation_test.ts",
   },
+  {
+    name: "longer leases are named until they have expired",
+    file: "packages/leader/src/former_leases.ts",
+    from: "return clock.nowMs() < this.endMs ? Math.max(ownMs, leaseMs) : ownMs;",
+    to: "return Math.max(ownMs, 0 * leaseMs);",
+    test: KNOWLEDGE_CASES,
+  },
+  {
+    name: "runs of an earlier release are not current",
+    file: "packages/leader/src/worker_group.ts",
+    from: "if (read.val.epoch !== held.epoch - 1) continue;",
+    to: "",
+    test: KNOWLEDGE_CASES,
+  },
   {
     name: "room is held back for tasks that move",
     file: "packages/jobs/src/worker_record.ts",
