test(jobs): a worker whose capacity shrinks gets no task until there is room

The planner reads the capacity from the worker's last registry entry at each decision and counts what is being stopped, so this held before; the case is a guard. Not covered: orders under way while the entry changes, and runs of jobs that are not known yet.

--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -405,6 +405,36 @@
   assert.deepEqual(starts.map(describe), ["b.0.0.0 w"]);
 });
 
+// Guards against starts on room that a worker has given up since.
+test("start planner: a worker whose capacity shrinks gets no task until there is room again", () => {
+  const half = { ...ALL_CORES, cpuMilli: 8000 };
+  const board = createBoard({
+    name: "",
+    workers: [["w"]],
+    jobs: [{ id: "a", steps: [{ count: 3, resources: half }] }],
+    starts: [],
+  });
+  const planWith = (cpuMilli: number) => {
+    const capacity = { ...ALL_CORES, memoryMb: 64_000, cpuMilli };
+    board.addWorker(createWorkerInfo("w", { capacity }));
+    return planStarts(board, {
+      nowMs: 0,
+      wallMs: 0,
+      limit: 1,
+      model: new InterferenceModel(),
+      isUsable: () => true,
+      areRunsKnown: () => true,
+    });
+  };
+  const [first] = planWith(16_000);
+  assert.ok(first);
+  assert.equal(planWith(12_000).length, 0);
+  // What is being stopped still takes its room.
+  board.stop(first, "test");
+  assert.equal(planWith(12_000).length, 0);
+  assert.equal(planWith(16_000).length, 1);
+});
+
 // Guards against jobs of a lower priority that jump the queue.
 test("start planner: a long-running task that was never at work keeps its priority", () => {
   const resources = ALL_CORES;
