test(leader): guards for two mechanisms that the earlier cases no longer held

Since a release hands over the runs on workers, the cases with a graceful change of the leader no longer noticed when a worker without an entry is not awaited, or when open losses of former leaders are not resolved. Both have a case with a lost leader now; six entries of the mutations follow the code that moved.

--- a/packages/faults/src/crash_cases_test.ts
+++ b/packages/faults/src/crash_cases_test.ts
@@ -94,6 +94,17 @@
     },
     maxCrashes: MAX_CRASHES + MAX_LATER_STARTS - 1,
   },
+  {
+    name: "workers never come back, and a leader is lost just after the second crash",
+    restartDelayMs: Number.POSITIVE_INFINITY,
+    workers: 10,
+    disturb: async (world) => {
+      await awaitCrashes(world, 2);
+      world.table.refused.add(world.leader?.name ?? "");
+      await world.advance(8000);
+    },
+    maxCrashes: MAX_CRASHES + MAX_LATER_STARTS - 1,
+  },
   { name: "as one task of a wide step", steps: [{ count: 12 }], innocents: 4 },
   {
     name: "in a gang",
--- a/packages/faults/src/takeover_knowledge_test.ts
+++ b/packages/faults/src/takeover_knowledge_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { LEADER_KEY, RUNS_PREFIX } from "@laburnumtrack/jobs/job_rows";
+import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
 import { type EntryPeer, EntryWorld } from "./entry_world";
 import { findLongGaps } from "./run_violations";
@@ -119,6 +120,21 @@
   assert.deepEqual(findLongGaps(moved, world.clock.nowMs(), MAX_MOVE_MS), []);
 });
 
+// Guards against a second run while a worker that left the registry goes on.
+test("takeover: a worker without an entry is awaited after a lost leader", async () => {
+  const world = new EntryWorld({ entries: 3, workers: 4 });
+  await world.advance(2000);
+  await world.submit(JOB_ID, "work=6000", [{ count: 8 }]);
+  await world.advance(500);
+  world.leader?.clock.freeze(60_000);
+  world.fleet.unreachable.add("w0");
+  await world.unregister("w0");
+  await world.advance(25_000);
+  assert.ok(world.fleet.history.some(({ worker }) => worker === "w0"));
+  assert.deepEqual(world.findViolations(), []);
+  assert.deepEqual(await world.readPhases(), [JobPhase.Completed]);
+});
+
 for (const leadMs of [0, 200]) {
   // Guards against a second run while a lease from an earlier version still lasts.
   test(`takeover: longer leases of an earlier version are waited for when the next leader stops after ${leadMs} ms`, async () => {
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -50,7 +50,7 @@
   {
     name: "crash losses: the leader resolves what former leaders left open",
     file: "packages/leader/src/term.ts",
-    from: "this.#board.losses.resolveOpen(areRunsKnown);",
+    from: "this.#board.losses.resolveOpen(this.#planningState().areRunsKnown);",
     to: "",
     test: CRASH_CASES,
   },
@@ -71,8 +71,8 @@
   {
     name: "crash losses: crashes long after the start prove less",
     file: "packages/jobs/src/crash_losses.ts",
-    from: "const isLate = (noticedMs ?? startMs) - startMs > LATE_LOSS_MS;",
-    to: "const isLate = Number.isNaN(noticedMs ?? startMs);",
+    from: "(noticedMs ?? startMs) - startMs > LATE_LOSS_MS;",
+    to: "Number.isNaN(noticedMs ?? startMs);",
     test: CRASH_LOSSES,
   },
   {
@@ -333,15 +333,15 @@
   {
     name: "a worker without entry is awaited before all is settled",
     file: "packages/leader/src/worker_group.ts",
-    from: "if (!worker.hasReported && !isSettled) continue;",
+    from: "if (!worker.areRunsKnown && !isSettled) continue;",
     to: "",
-    test: LEADER_CASES,
+    test: KNOWLEDGE_CASES,
   },
   {
     name: "workers without entry are found in the roster",
-    file: "packages/leader/src/term.ts",
-    from: "() => this.#workers.loadRoster(),",
-    to: "",
+    file: "packages/leader/src/worker_group.ts",
+    from: "const worker = board.addWorker(unlistedWorker(id, address));",
+    to: "if (address !== undefined) continue;\nconst worker = board.addWorker(unlistedWorker(id, address));",
     test: LEADER_CASES,
   },
   {
@@ -353,9 +353,9 @@
   },
   {
     name: "the remaining lease of a silent worker is its own property",
-    file: "packages/leader/src/term.ts",
-    from: "const leftMs = silent.get(id);",
-    to: "const leftMs = held.row.silent[id];",
+    file: "packages/leader/src/worker_group.ts",
+    from: "const wasSilent = Object.hasOwn(held.silent, worker.id);",
+    to: "const wasSilent = worker.id in held.silent;",
     test: WORKER_ID_CASES,
   },
   {
@@ -445,8 +445,8 @@
   {
     name: "ends are acknowledged only once they are stored",
     file: "packages/leader/src/worker_link.ts",
-    from: "this.#answeredMs > this.#restartMs ? worker.storedEndNumber : 0,",
-    to: "worker.lastEndNumber,",
+    from: "this.#answeredMs > this.#restartMs ? worker.storedEndNumber : 0;",
+    to: "worker.lastEndNumber;",
     test: LEADER_CASES,
   },
   {
