--- a/packages/jobs/src/crash_losses_test.ts
+++ b/packages/jobs/src/crash_losses_test.ts
@@ -6,7 +6,6 @@
 import { JobBoard } from "./job_board";
 import { createJobRecord, stateOf } from "./job_record";
 import { JobPhase } from "./job_state";
-import type { Queue } from "./queue_config";
 import { planStarts } from "./start_planner";
 import type { Attempt, JobRecord, Task } from "./task";
 import {
@@ -15,20 +14,10 @@
   type RunningRun,
   type WorkerReport,
 } from "./task_worker";
-import { createStep, createWorkerInfo } from "./test_samples";
+import { createQueue, createStep, createWorkerInfo } from "./test_samples";
 import type { WorkerRecord } from "./worker_record";
 
-const QUEUE: Queue = {
-  name: "q",
-  host: "h",
-  pathPrefix: "/q/",
-  pool: "pool",
-  priority: 0,
-  attemptLimit: 3,
-  stretch: 2,
-  targetMs: 1000,
-  advice: undefined,
-};
+const QUEUE = createQueue({ attemptLimit: 3 });
 
 /** A board with the job `a` and two workers that have reported. */
 interface Fixture {
--- a/packages/jobs/src/evacuation_test.ts
+++ b/packages/jobs/src/evacuation_test.ts
@@ -7,7 +7,12 @@
 import { reserveRoom } from "./reservations";
 import { planStarts } from "./start_planner";
 import { type Attempt, AttemptPhase, type Task } from "./task";
-import { createStep, createWorkerInfo } from "./test_samples";
+import {
+  createJob,
+  createQueue,
+  createStep,
+  createWorkerInfo,
+} from "./test_samples";
 import type { WorkerRecord } from "./worker_record";
 
 interface Case {
@@ -166,10 +171,7 @@
   const { name, step, places, moved, prepare, areRunsKnown = true } = given;
   // Guards against tasks that end with a worker whose leaving was announced.
   test(`evacuation: ${name}`, () => {
-    const listener = { onChanged() {}, onStop() {}, onEnd() {} };
-    const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
-    const info = createWorkerInfo("leaving", { isDraining: true });
-    const leaving = board.addWorker(info);
+    const { board, leaving } = createBoard();
     leaving.leavesAtMs = NOW_MS + TIME_LEFT_MS;
     const others = Array.from({ length: places }, (_, index) =>
       board.addWorker(createWorkerInfo(`w${index}`)),
@@ -177,11 +179,8 @@
     const attempts = startAll(board, "a", createStep(step), leaving);
     prepare?.({ leaving, others, attempts });
     const moves = planEvacuation(board, {
-      nowMs: NOW_MS,
-      wallMs: NOW_MS,
-      model: new InterferenceModel(),
+      ...createOptions(),
       areRunsKnown: () => areRunsKnown,
-      isUsable: ({ info: { isDraining } }) => !isDraining,
     });
     assert.deepEqual(
       moves.map(({ task }) => task.index),
@@ -193,10 +192,7 @@
 // Guards against long-running tasks that stay on a leaving worker, as shorter
 // tasks take all the room that becomes free.
 test("evacuation: room is held back for a long-running task until it is enough", () => {
-  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
-  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
-  const info = createWorkerInfo("leaving", { isDraining: true });
-  const leaving = board.addWorker(info);
+  const { board, leaving } = createBoard();
   const other = board.addWorker(createWorkerInfo("w0"));
   const quarter = { ...ALL_CORES, cpuMilli: 4000 };
   const short = createStep({ count: 5, resources: quarter });
@@ -207,14 +203,7 @@
     createStep({ ...LONG_RUNNING, resources: half }),
     leaving,
   );
-  const options = {
-    nowMs: NOW_MS,
-    wallMs: NOW_MS,
-    limit: 100,
-    model: new InterferenceModel(),
-    isUsable: ({ info: { isDraining } }: WorkerRecord) => !isDraining,
-    areRunsKnown: () => true,
-  };
+  const options = createOptions();
   addJob(board, "b", short);
   const shorts = planStarts(board, options);
   assert.equal(shorts.length, 4);
@@ -231,24 +220,14 @@
 
 // Guards against a task that is stopped and finds its room taken.
 test("evacuation: room stays reserved while its worker takes no new tasks for a moment", () => {
-  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
-  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
-  const info = createWorkerInfo("leaving", { isDraining: true });
-  const leaving = board.addWorker(info);
+  const { board, leaving } = createBoard();
   board.addWorker(createWorkerInfo("w0"));
   const half = { ...ALL_CORES, cpuMilli: 8000 };
   const step = createStep({ ...LONG_RUNNING, resources: half });
   const [attempt] = startAll(board, "a", step, leaving);
   assert.ok(attempt);
   addJob(board, "b", createStep({ count: 4, resources: half }));
-  const options = {
-    nowMs: NOW_MS,
-    wallMs: NOW_MS,
-    limit: 100,
-    model: new InterferenceModel(),
-    isUsable: ({ info: { isDraining } }: WorkerRecord) => !isDraining,
-    areRunsKnown: () => true,
-  };
+  const options = createOptions();
   assert.equal(planEvacuation(board, options).length, 1);
   board.stop(attempt, "its worker is leaving");
   planEvacuation(board, { ...options, isUsable: () => false });
@@ -260,10 +239,7 @@
 
 // Guards against a filler that is stopped although no worker may take it.
 test("evacuation: a long-running filler stays while it would slow serving tasks", () => {
-  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
-  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
-  const info = createWorkerInfo("leaving", { isDraining: true });
-  const leaving = board.addWorker(info);
+  const { board, leaving } = createBoard();
   const other = board.addWorker(createWorkerInfo("w0"));
   const serving = createStep({ ...LONG_RUNNING, targetMs: 100, image: "i" });
   const [served] = startAll(board, "s", serving, other);
@@ -273,15 +249,29 @@
   served.overSinceMs = 0;
   const filler = { isLongRunning: true, isFiller: true, image: "x" };
   startAll(board, "f", createStep(filler), leaving);
-  const moves = planEvacuation(board, {
+  const moves = planEvacuation(board, createOptions());
+  assert.deepEqual(moves, []);
+});
+
+/** Planning options under which only the leaving worker takes no new tasks. */
+function createOptions() {
+  return {
     nowMs: NOW_MS,
     wallMs: NOW_MS,
+    limit: 100,
     model: new InterferenceModel(),
-    isUsable: ({ info: { isDraining } }) => !isDraining,
+    isUsable: ({ info }: WorkerRecord) => !info.isDraining,
     areRunsKnown: () => true,
-  });
-  assert.deepEqual(moves, []);
-});
+  };
+}
+
+/** A board with one worker, which is leaving. */
+function createBoard(): { board: JobBoard; leaving: WorkerRecord } {
+  const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+  const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+  const info = createWorkerInfo("leaving", { isDraining: true });
+  return { board, leaving: board.addWorker(info) };
+}
 
 /** Adds a job with the step, all of whose tasks run on the worker. */
 function startAll(
@@ -298,25 +288,8 @@
 }
 
 function addJob(board: JobBoard, id: string, step: Step): Task[] {
-  const job = {
-    id,
-    queue: "q",
-    spec: "",
-    steps: [step],
-    repeat: undefined,
-    submittedMs: 0,
-  };
-  const queue = {
-    name: "q",
-    host: "h",
-    pathPrefix: "/q/",
-    pool: "pool",
-    priority: 0,
-    attemptLimit: 2,
-    stretch: 2,
-    targetMs: 1000,
-    advice: undefined,
-  };
+  const job = createJob(id, [step]);
+  const queue = createQueue();
   const record = board.addJob(job, 1, { queue, nowMs: 0, wallMs: 0 });
   return record.occurrences[0]?.[0]?.tasks ?? [];
 }
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -4,7 +4,6 @@
 import { JobBoard, type StopRequest } from "./job_board";
 import { createJobRecord, stateOf } from "./job_record";
 import { JobPhase } from "./job_state";
-import type { Queue } from "./queue_config";
 import type { JobRecord, Task } from "./task";
 import {
   type EndedRun,
@@ -12,19 +11,9 @@
   type RunningRun,
   type WorkerReport,
 } from "./task_worker";
-import { createStep, createWorkerInfo } from "./test_samples";
+import { createQueue, createStep, createWorkerInfo } from "./test_samples";
 
-const QUEUE: Queue = {
-  name: "q",
-  host: "h",
-  pathPrefix: "/q/",
-  pool: "pool",
-  priority: 0,
-  attemptLimit: 2,
-  stretch: 2,
-  targetMs: 1000,
-  advice: undefined,
-};
+const QUEUE = createQueue();
 const COMPLETE_MS = 3000;
 const NAME = { jobId: "a", occurrence: 0, step: 0, index: 0 };
 const RUN = { run: 1, workedMs: 0, nowMs: 0 };
--- a/packages/jobs/src/start_delay_test.ts
+++ b/packages/jobs/src/start_delay_test.ts
@@ -3,7 +3,12 @@
 import { JobBoard } from "./job_board";
 import { DelayReason, listStartDelays, listUsablePools } from "./start_delay";
 import type { Attempt, Task } from "./task";
-import { createStep, createWorkerInfo } from "./test_samples";
+import {
+  createJob,
+  createQueue,
+  createStep,
+  createWorkerInfo,
+} from "./test_samples";
 import type { WorkerRecord } from "./worker_record";
 
 interface Situation {
@@ -23,17 +28,6 @@
 }
 
 const NOW_MS = 1000;
-const QUEUE = {
-  name: "q",
-  host: "h",
-  pathPrefix: "/q/",
-  pool: "pool",
-  priority: 0,
-  attemptLimit: 3,
-  stretch: 2,
-  targetMs: 1000,
-  advice: undefined,
-};
 
 const CASES: readonly Case[] = [
   { name: "for room", prepare: () => {}, reason: DelayReason.NoRoom },
@@ -87,19 +81,9 @@
     const listener = { onChanged() {}, onStop() {}, onEnd() {} };
     const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
     const worker = board.addWorker(createWorkerInfo("w0"));
-    const job = {
-      id: "a",
-      queue: "q",
-      spec: "",
-      steps: [createStep()],
-      repeat: undefined,
-      submittedMs: 0,
-    };
-    const record = board.addJob(job, 1, {
-      queue: QUEUE,
-      nowMs: 0,
-      wallMs: 0,
-    });
+    const job = createJob("a", [createStep()]);
+    const queue = createQueue();
+    const record = board.addJob(job, 1, { queue, nowMs: 0, wallMs: 0 });
     const task = record.occurrences[0]?.[0]?.tasks[0];
     assert.ok(task);
     const start = () => board.onSent(task, 1, worker, 0);
--- a/packages/jobs/src/stored_runs_test.ts
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -4,17 +4,10 @@
 import { readRuns } from "./job_rows";
 import { adoptRuns, createRunRows, listSilentRuns } from "./stored_runs";
 import { RunEnd } from "./task_worker";
-import { createStep, createWorkerInfo } from "./test_samples";
+import { createJob, createStep, createWorkerInfo } from "./test_samples";
 import type { WorkerRecord } from "./worker_record";
 
-const JOB = {
-  id: "a",
-  queue: "q",
-  spec: "",
-  steps: [createStep({ count: 1500 })],
-  repeat: undefined,
-  submittedMs: 0,
-};
+const JOB = createJob("a", [createStep({ count: 1500 })]);
 const NAME = { jobId: "b", occurrence: 0, step: 0, index: 0 };
 
 function createBoard(workers: number) {
--- a/packages/jobs/src/test_samples.ts
+++ b/packages/jobs/src/test_samples.ts
@@ -1,4 +1,5 @@
-import type { Step } from "./job";
+import type { Job, Step } from "./job";
+import type { Queue } from "./queue_config";
 import type { RegisteredWorker } from "./task_worker";
 
 /** Creates a step for tests: one plain task, with the given overrides. */
@@ -43,3 +44,31 @@
     ...overrides,
   };
 }
+
+/** Creates a queue of pool `pool` for tests, with the given overrides. */
+export function createQueue(overrides: Partial<Queue> = {}): Queue {
+  return {
+    name: "q",
+    host: "h",
+    pathPrefix: "/q/",
+    pool: "pool",
+    priority: 0,
+    attemptLimit: 2,
+    stretch: 2,
+    targetMs: 1000,
+    advice: undefined,
+    ...overrides,
+  };
+}
+
+/** Creates a job with the given steps for tests. */
+export function createJob(id: string, steps: readonly Step[]): Job {
+  return {
+    id,
+    queue: "q",
+    spec: "",
+    steps,
+    repeat: undefined,
+    submittedMs: 0,
+  };
+}
