--- a/packages/jobs/src/evacuation.ts
+++ b/packages/jobs/src/evacuation.ts
@@ -1,17 +1,12 @@
 import type { JobBoard } from "./job_board";
 import { isRoomFree, releaseUnused, reserveRoom } from "./reservations";
-import { type CandidateOptions, StepCandidates } from "./step_candidates";
-import { type Attempt, AttemptPhase, type JobRecord } from "./task";
+import type { PlanOptions } from "./start_planner";
+import { StepCandidates } from "./step_candidates";
+import { type Attempt, AttemptPhase } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
 /** Input of {@linkcode planEvacuation} besides the board. */
-export interface EvacuationOptions
-  extends Omit<CandidateOptions, "isPoolBusy"> {
-  /** Whether new tasks may be placed on the worker. */
-  readonly isUsable: (worker: WorkerRecord) => boolean;
-  /** Whether tasks of the job may start; else those that move would wait. */
-  readonly areRunsKnown: (record: JobRecord) => boolean;
-}
+export type EvacuationOptions = Omit<PlanOptions, "limit">;
 
 /**
  * Chooses runs to stop on workers that are leaving, so that their tasks go on
--- a/packages/jobs/src/start_delay.ts
+++ b/packages/jobs/src/start_delay.ts
@@ -1,4 +1,4 @@
-import { isWaiting, listReadySteps, type PlanOptions } from "./start_planner";
+import { isWaiting, listReadySteps, type PlanningState } from "./start_planner";
 import type { JobRecord } from "./task";
 import { AttemptPhase, type Task } from "./task";
 import type { WorkerRecord } from "./worker_record";
@@ -19,12 +19,6 @@
   Stopping = "stopping",
 }
 
-/** What the reason depends on besides the task. */
-export type DelayOptions = Pick<
-  PlanOptions,
-  "nowMs" | "wallMs" | "isUsable" | "areRunsKnown"
->;
-
 /** A task that is not started yet, and why. */
 export interface StartDelay {
   readonly task: Task;
@@ -36,7 +30,7 @@
 /** Names of the pools that have a worker for new tasks. */
 export function listUsablePools(
   workers: Iterable<WorkerRecord>,
-  { isUsable }: DelayOptions,
+  { isUsable }: PlanningState,
 ): Set<string> {
   const pools = new Set<string>();
   for (const worker of workers) {
@@ -51,7 +45,7 @@
 export function listStartDelays(
   record: JobRecord,
   usablePools: ReadonlySet<string>,
-  options: DelayOptions,
+  options: PlanningState,
 ): StartDelay[] {
   const hasWorker = usablePools.has(record.queue?.pool ?? "");
   const placing = hasWorker ? DelayReason.NoRoom : DelayReason.NoWorker;
@@ -69,7 +63,7 @@
 function explainDelay(
   task: Task,
   placing: DelayReason,
-  options: DelayOptions,
+  options: PlanningState,
 ): StartDelay | undefined {
   if (task.isDone) return undefined;
   const [attempt] = task.attempts;
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -29,21 +29,25 @@
 /** Fraction of a pool's CPU that is reserved when the pool counts as busy. */
 const BUSY_FRACTION = 0.6;
 
-/** Input of a planning round besides the board. */
-export interface PlanOptions {
+/** What may be planned at a moment. */
+export interface PlanningState {
   /** Monotonic ms. */
   readonly nowMs: number;
   /** Unix ms. */
   readonly wallMs: number;
-  /** Maximum number of starts in this round. */
-  readonly limit: number;
-  readonly model: InterferenceModel;
   /** Whether new tasks may be placed on the worker. */
   readonly isUsable: (worker: WorkerRecord) => boolean;
   /** Whether the board knows all runs of the job. */
   readonly areRunsKnown: (record: JobRecord) => boolean;
 }
 
+/** Input of a planning round besides the board. */
+export interface PlanOptions extends PlanningState {
+  /** Maximum number of starts in this round. */
+  readonly limit: number;
+  readonly model: InterferenceModel;
+}
+
 /**
  * Chooses which tasks start now and on which workers, most urgent job first.
  * Each start is recorded on the board immediately, so that later choices see
--- a/packages/leader/src/start_delay_log.ts
+++ b/packages/leader/src/start_delay_log.ts
@@ -2,12 +2,12 @@
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
 import {
-  type DelayOptions,
   type DelayReason,
   listStartDelays,
   listUsablePools,
   type StartDelay,
 } from "@laburnumtrack/jobs/start_delay";
+import type { PlanningState } from "@laburnumtrack/jobs/start_planner";
 import type { Task } from "@laburnumtrack/jobs/task";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
@@ -19,7 +19,7 @@
   readonly journal: Journal;
   readonly metrics: Metrics;
   /** State of the planner, on which the reasons depend. */
-  readonly planning: () => DelayOptions;
+  readonly planning: () => PlanningState;
 }
 
 /** Interval between two looks at the waiting tasks, in ms. */
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -6,8 +6,10 @@
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
-import type { DelayOptions } from "@laburnumtrack/jobs/start_delay";
-import { planStarts } from "@laburnumtrack/jobs/start_planner";
+import {
+  type PlanningState,
+  planStarts,
+} from "@laburnumtrack/jobs/start_planner";
 import type { Attempt } from "@laburnumtrack/jobs/task";
 import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
@@ -455,7 +457,7 @@
   }
 
   /** Which workers and jobs may be planned now. */
-  #planningState(): DelayOptions {
+  #planningState(): PlanningState {
     const { clock } = this.#options;
     const nowMs = clock.nowMs();
     return {
@@ -494,8 +496,8 @@
   }
 
   /**
-   * Determines whether all runs are known: every worker has reported, or its
-   * leases from former leaders have expired.
+   * Determines whether all runs are known: every worker has reported, former
+   * leaders have stored its runs, or their leases on it have expired.
    */
   #updateSettled(): void {
     if (this.#isSettled) return;
