feat(process): failed reads of the table say how far they came, and for how long they fail

Cause: only the first of a row of failures was logged, and a call that failed said neither whether it was sent nor whether an answer was arriving. No logic is changed.

--- a/packages/http_ports/src/http_exchange.ts
+++ b/packages/http_ports/src/http_exchange.ts
@@ -1,4 +1,4 @@
-import { FaultCode } from "@laburnumtrack/core/fault";
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { Err, Ok, type Result } from "ts-results";
 import type { Dispatcher } from "undici";
 
@@ -28,8 +28,10 @@
    * Settles once the response is complete. `StoreUnavailable` means that the
    * request was never sent, `OutcomeUnknown` that it may have been sent.
    */
-  readonly response: Promise<Result<HttpResponse, FaultCode>>;
-  #settle: (result: Result<HttpResponse, FaultCode>) => void = () => {};
+  readonly response: Promise<Result<HttpResponse, Fault>>;
+  #settle: (result: Result<HttpResponse, Fault>) => void = () => {};
+  readonly #url: string;
+  readonly #timeoutMs: number;
   readonly #timer: NodeJS.Timeout;
   /** Undefined until the request is about to be written to a connection. */
   #controller: Dispatcher.DispatchController | undefined;
@@ -37,9 +39,12 @@
   #status = 0;
   #etag = "";
   readonly #chunks: Buffer[] = [];
+  #receivedBytes = 0;
 
   /** `timeoutMs` limits the time until the response is complete. */
-  constructor(timeoutMs: number) {
+  constructor(url: string, timeoutMs: number) {
+    this.#url = url;
+    this.#timeoutMs = timeoutMs;
     this.response = new Promise((resolve) => {
       this.#settle = resolve;
     });
@@ -66,6 +71,7 @@
     chunk: Buffer,
   ): void {
     this.#chunks.push(chunk);
+    this.#receivedBytes += chunk.length;
   }
 
   onResponseEnd(): void {
@@ -80,20 +86,32 @@
   onResponseError(_controller: unknown, error: unknown): void {
     clearTimeout(this.#timer);
     const wasNotSent = this.#controller === undefined || isConnectError(error);
-    this.#settle(
-      Err(wasNotSent ? FaultCode.StoreUnavailable : FaultCode.OutcomeUnknown),
+    const { message } = error as { message?: string };
+    this.#fail(
+      wasNotSent ? FaultCode.StoreUnavailable : FaultCode.OutcomeUnknown,
+      message ?? String(error),
     );
   }
 
   #onTimeout(): void {
+    const limit = `${this.#timeoutMs} ms`;
     if (this.#controller === undefined) {
       this.#isExpired = true;
-      this.#settle(Err(FaultCode.StoreUnavailable));
+      this.#fail(FaultCode.StoreUnavailable, `not sent within ${limit}`);
       return;
     }
-    this.#settle(Err(FaultCode.OutcomeUnknown));
+    this.#fail(
+      FaultCode.OutcomeUnknown,
+      this.#status === 0
+        ? `no response within ${limit}`
+        : `response incomplete after ${limit}, ${this.#receivedBytes} bytes received`,
+    );
     this.#controller.abort(new Error("request timed out"));
   }
+
+  #fail(code: FaultCode, cause: string): void {
+    this.#settle(Err(new Fault(code, `${this.#url} (${cause})`)));
+  }
 }
 
 function isConnectError(error: unknown): boolean {
--- a/packages/http_ports/src/json_client.ts
+++ b/packages/http_ports/src/json_client.ts
@@ -47,7 +47,7 @@
   /**
    * Sends one request, without retries. Fails with `StoreUnavailable` when it
    * was never sent, with `OutcomeUnknown` when it may have been sent and no
-   * complete response arrived.
+   * complete response arrived; the detail says how far it came.
    */
   async call(call: HttpRequest): Promise<Result<HttpResponse, Fault>> {
     const body = encodeBody(call.body);
@@ -67,18 +67,16 @@
     };
     // The dispatcher's own interface costs a third of its `request` function,
     // which creates a stream and an abort signal for each call.
-    const exchange = new HttpExchange(call.timeoutMs ?? this.#timeoutMs);
+    const timeoutMs = call.timeoutMs ?? this.#timeoutMs;
+    const exchange = new HttpExchange(call.url, timeoutMs);
     try {
       this.#agent.dispatch(options, exchange);
     } catch (error) {
       exchange.onResponseError(undefined, error);
     }
     const response = await exchange.response;
-    if (response.ok) {
-      this.bytes.received += response.val.text.length;
-      return response;
-    }
-    return Err(new Fault(response.val, call.url));
+    if (response.ok) this.bytes.received += response.val.text.length;
+    return response;
   }
 
   /** Closes all connections; requests in progress fail. */
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -37,6 +37,18 @@
 /** Failures that last this long are an outage, not one failed call. */
 const OUTAGE_THRESHOLD_MS = 300;
 const RETRY_DELAY_MS = 150;
+/** Interval at which the cause of an outage that goes on is logged. */
+const OUTAGE_LOG_INTERVAL_MS = 2000;
+
+/** Failed calls in a row. */
+interface Outage {
+  /** Monotonic ms of the first failure. */
+  readonly sinceMs: number;
+  failures: number;
+  lastCause: string;
+  /** Monotonic ms at which a failure was last logged. */
+  loggedMs: number;
+}
 
 /** Follows the rows under a prefix: a snapshot, then long polls for changes. */
 export class RowFollower {
@@ -44,8 +56,8 @@
   #revision: number | undefined;
   /** Highest revision seen; snapshots below it are stale. */
   #minRevision: number;
-  /** Monotonic ms of the first failure since the last successful call. */
-  #firstFailureMs: number | undefined;
+  /** Undefined while calls succeed. */
+  #outage: Outage | undefined;
 
   constructor(options: RowFollowerOptions) {
     this.#options = options;
@@ -56,8 +68,8 @@
   get isTableUnavailable(): boolean {
     const { clock } = this.#options;
     return (
-      this.#firstFailureMs !== undefined &&
-      clock.nowMs() - this.#firstFailureMs > OUTAGE_THRESHOLD_MS
+      this.#outage !== undefined &&
+      clock.nowMs() - this.#outage.sinceMs > OUTAGE_THRESHOLD_MS
     );
   }
 
@@ -99,7 +111,7 @@
     const { table, prefix } = this.#options;
     const after = this.#revision ?? 0;
     const waitMs =
-      this.#firstFailureMs === undefined ? POLL_WAIT_MS : OUTAGE_POLL_WAIT_MS;
+      this.#outage === undefined ? POLL_WAIT_MS : OUTAGE_POLL_WAIT_MS;
     const read = await catchErrors(() => table.changes(prefix, after, waitMs));
     if (signal.aborted) return true;
     if (read.err) {
@@ -146,19 +158,38 @@
   }
 
   #onSuccess(): void {
-    if (this.#firstFailureMs === undefined) return;
-    this.#firstFailureMs = undefined;
-    const { journal, prefix } = this.#options;
-    journal.info("The table answers again; following row changes.", { prefix });
+    const outage = this.#outage;
+    if (outage === undefined) return;
+    this.#outage = undefined;
+    const { clock, journal, prefix } = this.#options;
+    journal.info("The table answers again; following row changes.", {
+      prefix,
+      outageMs: Math.round(clock.nowMs() - outage.sinceMs),
+      failures: outage.failures,
+      lastCause: outage.lastCause,
+    });
   }
 
   #onFailure(cause: string): void {
-    if (this.#firstFailureMs !== undefined) return;
     const { clock, journal, prefix } = this.#options;
-    this.#firstFailureMs = clock.nowMs();
+    const nowMs = clock.nowMs();
+    const isFirst = this.#outage === undefined;
+    this.#outage ??= {
+      sinceMs: nowMs,
+      failures: 0,
+      lastCause: cause,
+      loggedMs: nowMs,
+    };
+    const outage = this.#outage;
+    outage.failures += 1;
+    outage.lastCause = cause;
+    if (!isFirst && nowMs - outage.loggedMs < OUTAGE_LOG_INTERVAL_MS) return;
+    outage.loggedMs = nowMs;
     journal.warn("The table does not answer; rows known here may be stale.", {
       prefix,
       cause,
+      failures: outage.failures,
+      outageMs: Math.round(nowMs - outage.sinceMs),
     });
   }
 }
