fix(http_ports): reads of the table may take as long as their answers keep arriving

What callers saw: an entry on a small link answered by an old configuration for 20 s after the store was well (CONFIG): a dropped route served, an added one 404. Cause: one time limit covered a whole answer. The change feed answers with every version since the last read, so an entry that is behind asks for more with each retry, is cut off midway each time, and recovers only when the store drops its history. Class: a retry that costs at least as much as the try that failed. Change: reads have a limit on the wait for the answer, and on each wait without progress (1 KiB) after that. Writes and orders keep the limit on the whole.

--- a/packages/http_ports/src/http_exchange.ts
+++ b/packages/http_ports/src/http_exchange.ts
@@ -1,3 +1,4 @@
+import { performance } from "node:perf_hooks";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { Err, Ok, type Result } from "ts-results";
 import type { Dispatcher } from "undici";
@@ -10,6 +11,23 @@
   readonly etag: string;
 }
 
+/** Time limits of an exchange, in ms. */
+export interface ExchangeLimits {
+  /**
+   * Time until the response is complete, or until it begins if there is a
+   * `stallMs`.
+   */
+  readonly timeoutMs: number;
+  /**
+   * A response that has begun may take as long as it needs while it makes
+   * progress in each interval of this length.
+   */
+  readonly stallMs?: number | undefined;
+}
+
+/** Bytes that a response must have grown by to count as making progress. */
+const MIN_PROGRESS_BYTES = 1024;
+
 /** Errors of requests that failed before they were sent. */
 const CONNECT_ERROR_CODES = new Set([
   "ECONNREFUSED",
@@ -19,10 +37,7 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-/**
- * One request and its response, as a handler of the dispatcher, with a time
- * limit on the complete exchange.
- */
+/** One request and its response, as a handler of the dispatcher. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
   /**
    * Settles once the response is complete. `StoreUnavailable` means that the
@@ -31,8 +46,9 @@
   readonly response: Promise<Result<HttpResponse, Fault>>;
   #settle: (result: Result<HttpResponse, Fault>) => void = () => {};
   readonly #url: string;
-  readonly #timeoutMs: number;
-  readonly #timer: NodeJS.Timeout;
+  readonly #limits: ExchangeLimits;
+  readonly #startMs = performance.now();
+  #timer: NodeJS.Timeout;
   /** Undefined until the request is about to be written to a connection. */
   #controller: Dispatcher.DispatchController | undefined;
   #isExpired = false;
@@ -40,15 +56,16 @@
   #etag = "";
   readonly #chunks: Buffer[] = [];
   #receivedBytes = 0;
+  /** Bytes received when the time limit was last extended. */
+  #checkedBytes = 0;
 
-  /** `timeoutMs` limits the time until the response is complete. */
-  constructor(url: string, timeoutMs: number) {
+  constructor(url: string, limits: ExchangeLimits) {
     this.#url = url;
-    this.#timeoutMs = timeoutMs;
+    this.#limits = limits;
     this.response = new Promise((resolve) => {
       this.#settle = resolve;
     });
-    this.#timer = setTimeout(() => this.#onTimeout(), timeoutMs);
+    this.#timer = this.#schedule(limits.timeoutMs);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -93,22 +110,36 @@
     );
   }
 
+  #schedule(limitMs: number): NodeJS.Timeout {
+    return setTimeout(() => this.#onTimeout(), limitMs);
+  }
+
   #onTimeout(): void {
-    const limit = `${this.#timeoutMs} ms`;
+    const { stallMs } = this.#limits;
+    if (stallMs !== undefined && this.#hasProgressed()) {
+      this.#checkedBytes = this.#receivedBytes;
+      this.#timer = this.#schedule(stallMs);
+      return;
+    }
+    const after = `${Math.round(performance.now() - this.#startMs)} ms`;
     if (this.#controller === undefined) {
       this.#isExpired = true;
-      this.#fail(FaultCode.StoreUnavailable, `not sent within ${limit}`);
+      this.#fail(FaultCode.StoreUnavailable, `not sent after ${after}`);
       return;
     }
     this.#fail(
       FaultCode.OutcomeUnknown,
       this.#status === 0
-        ? `no response within ${limit}`
-        : `response incomplete after ${limit}, ${this.#receivedBytes} bytes received`,
+        ? `no response after ${after}`
+        : `response incomplete after ${after}, ${this.#receivedBytes} bytes received`,
     );
     this.#controller.abort(new Error("request timed out"));
   }
 
+  #hasProgressed(): boolean {
+    return this.#receivedBytes - this.#checkedBytes >= MIN_PROGRESS_BYTES;
+  }
+
   #fail(code: FaultCode, cause: string): void {
     this.#settle(Err(new Fault(code, `${this.#url} (${cause})`)));
   }
--- a/packages/http_ports/src/json_client.ts
+++ b/packages/http_ports/src/json_client.ts
@@ -11,6 +11,11 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Time limit for the complete response, in ms; default: the client's. */
   readonly timeoutMs?: number;
+  /**
+   * Whether a response of any size is worth waiting for: the time limit then
+   * covers its beginning, and after that each wait without progress.
+   */
+  readonly isOpenEnded?: boolean;
 }
 
 /** Options of {@linkcode JsonClient}. */
@@ -23,7 +28,7 @@
   readonly name: string;
 }
 
-/** HTTP client for JSON services, with a time limit on each request. */
+/** HTTP client for JSON services, with time limits on each request. */
 export class JsonClient {
   readonly #agent: Agent;
   readonly #timeoutMs: number;
@@ -68,7 +73,8 @@
     // The dispatcher's own interface costs a third of its `request` function,
     // which creates a stream and an abort signal for each call.
     const timeoutMs = call.timeoutMs ?? this.#timeoutMs;
-    const exchange = new HttpExchange(call.url, timeoutMs);
+    const stallMs = call.isOpenEnded ? this.#timeoutMs : undefined;
+    const exchange = new HttpExchange(call.url, { timeoutMs, stallMs });
     try {
       this.#agent.dispatch(options, exchange);
     } catch (error) {
--- a/packages/http_ports/src/json_client_test.ts
+++ b/packages/http_ports/src/json_client_test.ts
@@ -142,6 +142,76 @@
   assert.equal(result.err && result.val.code, FaultCode.StoreUnavailable);
 });
 
+/** Pause between two parts of a response; shorter than the time limit. */
+const PART_PAUSE_MS = TIMEOUT_MS / 3;
+/** Parts of a response, which take twice the time limit to arrive. */
+const PARTS = 6;
+
+const ARRIVAL_CASES: readonly {
+  readonly name: string;
+  readonly isOpenEnded: boolean;
+  readonly partBytes: number;
+  /** Parts that the server sends. */
+  readonly sentParts: number;
+  readonly fault: FaultCode | undefined;
+}[] = [
+  {
+    name: "one that keeps arriving is received whole",
+    isOpenEnded: true,
+    partBytes: 2048,
+    sentParts: PARTS,
+    fault: undefined,
+  },
+  {
+    name: "one that stops arriving fails",
+    isOpenEnded: true,
+    partBytes: 2048,
+    sentParts: 2,
+    fault: FaultCode.OutcomeUnknown,
+  },
+  {
+    name: "one that trickles fails",
+    isOpenEnded: true,
+    partBytes: 20,
+    sentParts: PARTS,
+    fault: FaultCode.OutcomeUnknown,
+  },
+  {
+    name: "one with a limit on the whole fails while it arrives",
+    isOpenEnded: false,
+    partBytes: 2048,
+    sentParts: PARTS,
+    fault: FaultCode.OutcomeUnknown,
+  },
+];
+
+for (const given of ARRIVAL_CASES) {
+  const { name, isOpenEnded, partBytes, sentParts, fault } = given;
+  // Guards against large responses that slow links can never deliver in time.
+  test(`JSON client: of responses, ${name}`, async (t) => {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        const length = partBytes * PARTS;
+        socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\n\r\n`);
+        for (let part = 0; part < sentParts; part += 1) {
+          const text = "x".repeat(partBytes);
+          setTimeout(() => socket.write(text), part * PART_PAUSE_MS);
+        }
+      });
+    });
+    const origin = await listen(t, server);
+    const client = createClient(t);
+    const result = await client.call({
+      method: "GET",
+      url: `${origin}/`,
+      isOpenEnded,
+    });
+    assert.equal(result.err ? result.val.code : undefined, fault);
+    if (result.ok) assert.equal(result.val.text.length, partBytes * PARTS);
+  });
+}
+
 /** A client that is closed after the test, also when the test fails. */
 function createClient(t: TestContext): JsonClient {
   const client = new JsonClient({
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -5,6 +5,8 @@
   type Server,
   type Socket,
 } from "node:net";
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** How a proxy impairs the connections that it forwards. */
 export enum LinkFault {
@@ -21,6 +23,8 @@
 
 /** Delay of bytes per direction under `LinkFault.Delayed`, in ms. */
 const DELAY_MS = 150;
+/** Size of the pieces in which answers pass a link of limited bandwidth. */
+const SLICE_BYTES = 2048;
 
 /**
  * TCP proxy that forwards connections to an address and can inject faults.
@@ -31,7 +35,11 @@
   readonly #target: string;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Time in ms at which the link has passed all answers so far. */
+  #freeAtMs = 0;
   fault = LinkFault.None;
+  /** Bandwidth that the answers of all connections share. */
+  bytesPerS = Number.POSITIVE_INFINITY;
 
   private constructor(target: string) {
     this.#target = target;
@@ -89,6 +97,10 @@
         this.fault === LinkFault.Silent ||
         (this.fault === LinkFault.OneWay && isAnswer);
       if (isDropping) return;
+      if (isAnswer && Number.isFinite(this.bytesPerS)) {
+        void this.#passAtBandwidth(bytes, from, to);
+        return;
+      }
       const delayMs = this.fault === LinkFault.Delayed ? DELAY_MS : 0;
       if (delayMs === 0) to.write(bytes);
       else setTimeout(() => to.writable && to.write(bytes), delayMs);
@@ -100,4 +112,22 @@
       to.destroy();
     });
   }
+
+  async #passAtBandwidth(
+    bytes: Buffer,
+    from: Socket,
+    to: Socket,
+  ): Promise<void> {
+    from.pause();
+    for (let start = 0; start < bytes.length; start += SLICE_BYTES) {
+      const slice = bytes.subarray(start, start + SLICE_BYTES);
+      const nowMs = performance.now();
+      const durationMs = (slice.length / this.bytesPerS) * 1000;
+      this.#freeAtMs = Math.max(nowMs, this.#freeAtMs) + durationMs;
+      await sleep(this.#freeAtMs - nowMs);
+      if (!to.writable) return;
+      to.write(slice);
+    }
+    from.resume();
+  }
 }
