fix(process): an entry that is behind reads the newest configuration, not each version since

What callers saw: with changes in quick succession, entries on small links used a version of seconds ago (CONFIG). Cause: the change feed answers with every version since the last read. When versions come faster than the link passes them, each answer holds more of them than the one before, and none but the last is of use. What it reads then no longer grows with how far it is behind.

--- a/packages/core/src/feed_table.ts
+++ b/packages/core/src/feed_table.ts
@@ -7,6 +7,8 @@
   readonly rows: Row[];
   /** `rows` may lack changes above this revision. */
   readonly revision: number;
+  /** Size of the answers that held the rows. */
+  readonly bytes: number;
 }
 
 /** Changed rows in order, and the revision to continue from. */
@@ -22,6 +24,14 @@
   readonly value: string | undefined;
 }
 
+/** Options of {@linkcode FeedTable.changes}. */
+export interface ChangesOptions {
+  /** Longest wait for a change, in ms. */
+  readonly waitMs: number;
+  /** A larger answer is not received; default: any size is. */
+  readonly maxBytes?: number;
+}
+
 /** A table with a change feed. */
 export abstract class FeedTable extends Table {
   /**
@@ -30,13 +40,13 @@
    */
   abstract snapshot(prefix: string): Promise<Result<Snapshot, Fault>>;
   /**
-   * Waits up to `waitMs` for changes above the revision `after`. Fails with
-   * `HistoryLost` when they are no longer retained; the caller then takes a
-   * new snapshot.
+   * Waits for changes above the revision `after`. Fails with `HistoryLost` when
+   * they are no longer retained, and with `TooLarge` when there are more than
+   * `maxBytes` of them; the caller then takes a new snapshot.
    */
   abstract changes(
     prefix: string,
     after: number,
-    waitMs: number,
+    options: ChangesOptions,
   ): Promise<Result<Changes, Fault>>;
 }
--- a/packages/desk/src/queue_config_watcher.ts
+++ b/packages/desk/src/queue_config_watcher.ts
@@ -32,6 +32,7 @@
     this.#follower = new RowFollower({
       ...options,
       prefix: source.prefix,
+      preferSnapshots: true,
       listener: { onRow: (row) => this.#onRow(row) },
     });
   }
--- a/packages/http_ports/src/http_exchange.ts
+++ b/packages/http_ports/src/http_exchange.ts
@@ -7,22 +7,26 @@
 export interface HttpResponse {
   readonly status: number;
   readonly text: string;
+  /** Size of the body. */
+  readonly bytes: number;
   /** Empty when the response has none. */
   readonly etag: string;
 }
 
-/** Time limits of an exchange, in ms. */
+/** Limits of an exchange. */
 export interface ExchangeLimits {
   /**
    * Time until the response is complete, or until it begins if there is a
-   * `stallMs`.
+   * `stallMs`, in ms.
    */
   readonly timeoutMs: number;
   /**
    * A response that has begun may take as long as it needs while it makes
-   * progress in each interval of this length.
+   * progress in each interval of this length, in ms.
    */
   readonly stallMs?: number | undefined;
+  /** A response with a larger body is given up as soon as that is known. */
+  readonly maxBytes?: number | undefined;
 }
 
 /** Bytes that a response must have grown by to count as making progress. */
@@ -41,7 +45,8 @@
 export class HttpExchange implements Dispatcher.DispatchHandler {
   /**
    * Settles once the response is complete. `StoreUnavailable` means that the
-   * request was never sent, `OutcomeUnknown` that it may have been sent.
+   * request was never sent, `OutcomeUnknown` that it may have been sent,
+   * `TooLarge` that the response exceeds `maxBytes`.
    */
   readonly response: Promise<Result<HttpResponse, Fault>>;
   #settle: (result: Result<HttpResponse, Fault>) => void = () => {};
@@ -75,20 +80,22 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
     this.#status = status;
     this.#etag = String(headers.etag ?? "");
+    this.#checkSize(controller, Number(headers["content-length"] ?? 0));
   }
 
   onResponseData(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
     this.#chunks.push(chunk);
     this.#receivedBytes += chunk.length;
+    this.#checkSize(controller, this.#receivedBytes);
   }
 
   onResponseEnd(): void {
@@ -96,8 +103,14 @@
     const [first] = this.#chunks;
     const body =
       this.#chunks.length === 1 ? first : Buffer.concat(this.#chunks);
-    const text = body?.toString("utf8") ?? "";
-    this.#settle(Ok({ status: this.#status, text, etag: this.#etag }));
+    this.#settle(
+      Ok({
+        status: this.#status,
+        text: body?.toString("utf8") ?? "",
+        bytes: this.#receivedBytes,
+        etag: this.#etag,
+      }),
+    );
   }
 
   onResponseError(_controller: unknown, error: unknown): void {
@@ -110,6 +123,13 @@
     );
   }
 
+  #checkSize(controller: Dispatcher.DispatchController, bytes: number): void {
+    const { maxBytes = Number.POSITIVE_INFINITY } = this.#limits;
+    if (bytes <= maxBytes || controller.aborted) return;
+    this.#fail(FaultCode.TooLarge, `more than ${maxBytes} bytes`);
+    controller.abort(new Error("response too large"));
+  }
+
   #schedule(limitMs: number): NodeJS.Timeout {
     return setTimeout(() => this.#onTimeout(), limitMs);
   }
--- a/packages/http_ports/src/json_client.ts
+++ b/packages/http_ports/src/json_client.ts
@@ -16,6 +16,8 @@
    * covers its beginning, and after that each wait without progress.
    */
   readonly isOpenEnded?: boolean;
+  /** A larger response is not received; default: any size is. */
+  readonly maxBytes?: number | undefined;
 }
 
 /** Options of {@linkcode JsonClient}. */
@@ -52,7 +54,8 @@
   /**
    * Sends one request, without retries. Fails with `StoreUnavailable` when it
    * was never sent, with `OutcomeUnknown` when it may have been sent and no
-   * complete response arrived; the detail says how far it came.
+   * complete response arrived, with `TooLarge` when it exceeds `maxBytes`; the
+   * detail says how far it came.
    */
   async call(call: HttpRequest): Promise<Result<HttpResponse, Fault>> {
     const body = encodeBody(call.body);
@@ -74,7 +77,9 @@
     // which creates a stream and an abort signal for each call.
     const timeoutMs = call.timeoutMs ?? this.#timeoutMs;
     const stallMs = call.isOpenEnded ? this.#timeoutMs : undefined;
-    const exchange = new HttpExchange(call.url, { timeoutMs, stallMs });
+    const { maxBytes } = call;
+    const limits = { timeoutMs, stallMs, maxBytes };
+    const exchange = new HttpExchange(call.url, limits);
     try {
       this.#agent.dispatch(options, exchange);
     } catch (error) {
--- a/packages/http_ports/src/json_client_test.ts
+++ b/packages/http_ports/src/json_client_test.ts
@@ -120,7 +120,12 @@
     assert.deepEqual(faults, expected);
     for (const result of results) {
       if (result.err) continue;
-      assert.deepEqual(result.val, { status: 200, text: "{}", etag: "e1" });
+      assert.deepEqual(result.val, {
+        status: 200,
+        text: "{}",
+        bytes: 2,
+        etag: "e1",
+      });
     }
     // Whatever is sent late would arrive before a request queued behind it, or
     // while time passes.
@@ -154,7 +159,16 @@
   /** Parts that the server sends. */
   readonly sentParts: number;
   readonly fault: FaultCode | undefined;
+  readonly maxBytes?: number;
 }[] = [
+  {
+    name: "one that exceeds the size limit is given up at once",
+    isOpenEnded: true,
+    partBytes: 2048,
+    sentParts: 1,
+    fault: FaultCode.TooLarge,
+    maxBytes: 2048,
+  },
   {
     name: "one that keeps arriving is received whole",
     isOpenEnded: true,
@@ -186,7 +200,7 @@
 ];
 
 for (const given of ARRIVAL_CASES) {
-  const { name, isOpenEnded, partBytes, sentParts, fault } = given;
+  const { name, isOpenEnded, partBytes, sentParts, fault, maxBytes } = given;
   // Guards against large responses that slow links can never deliver in time.
   test(`JSON client: of responses, ${name}`, async (t) => {
     const server = createServer((socket) => {
@@ -206,6 +220,7 @@
       method: "GET",
       url: `${origin}/`,
       isOpenEnded,
+      maxBytes,
     });
     assert.equal(result.err ? result.val.code : undefined, fault);
     if (result.ok) assert.equal(result.val.text.length, partBytes * PARTS);
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -28,6 +28,12 @@
   readonly listener: RowListener;
   /** Snapshots below this revision are ignored as stale; default 0. */
   readonly minRevision?: number;
+  /**
+   * Whether changes that are larger than the last snapshot are skipped by taking
+   * a new one. Saves reading values that others have replaced since; default
+   * false.
+   */
+  readonly preferSnapshots?: boolean;
 }
 
 /** Wait of a long poll; bounds how long a dead connection goes unnoticed. */
@@ -37,6 +43,10 @@
 /** Failures that last this long are an outage, not one failed call. */
 const OUTAGE_THRESHOLD_MS = 300;
 const RETRY_DELAY_MS = 150;
+/** Changes of this size are always read. */
+const MIN_CHANGES_BYTES = 32 * 1024;
+/** Changes are read up to this multiple of the size of the last snapshot. */
+const CHANGES_SIZE_FACTOR = 1.5;
 /** Interval at which the cause of an outage that goes on is logged. */
 const OUTAGE_LOG_INTERVAL_MS = 2000;
 
@@ -56,6 +66,7 @@
   #revision: number | undefined;
   /** Highest revision seen; snapshots below it are stale. */
   #minRevision: number;
+  #snapshotBytes = 0;
   /** Undefined while calls succeed. */
   #outage: Outage | undefined;
 
@@ -91,6 +102,7 @@
     if (read.val.revision < this.#minRevision) return false;
     this.#revision = read.val.revision;
     this.#minRevision = read.val.revision;
+    this.#snapshotBytes = read.val.bytes;
     const { rows, revision } = read.val;
     this.#notify({ prefix, revision }, () => listener.onSnapshot?.(read.val));
     for (const row of rows) this.#notifyRow(row);
@@ -112,7 +124,10 @@
     const after = this.#revision ?? 0;
     const waitMs =
       this.#outage === undefined ? POLL_WAIT_MS : OUTAGE_POLL_WAIT_MS;
-    const read = await catchErrors(() => table.changes(prefix, after, waitMs));
+    const maxBytes = this.#maxChangesBytes;
+    const read = await catchErrors(() =>
+      table.changes(prefix, after, { waitMs, maxBytes }),
+    );
     if (signal.aborted) return true;
     if (read.err) {
       if (read.val.code === FaultCode.HistoryLost) {
@@ -122,6 +137,7 @@
         );
         return await this.#reload();
       }
+      if (read.val.code === FaultCode.TooLarge) return await this.load();
       this.#onFailure(read.val.message);
       return false;
     }
@@ -132,6 +148,14 @@
     return true;
   }
 
+  get #maxChangesBytes(): number {
+    if (!this.#options.preferSnapshots) return Number.POSITIVE_INFINITY;
+    return Math.max(
+      MIN_CHANGES_BYTES,
+      CHANGES_SIZE_FACTOR * this.#snapshotBytes,
+    );
+  }
+
   #notifyRow(row: ChangedRow): void {
     const { key, revision } = row;
     this.#notify({ key, revision }, () => this.#options.listener.onRow(row));
--- a/packages/process/src/row_follower_test.ts
+++ b/packages/process/src/row_follower_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { ChangesOptions } from "@laburnumtrack/core/feed_table";
 import {
   FeedTableStandin,
   TableFault,
@@ -135,9 +136,13 @@
     return await super.snapshot(prefix);
   }
 
-  override async changes(prefix: string, after: number, waitMs: number) {
+  override async changes(
+    prefix: string,
+    after: number,
+    options: ChangesOptions,
+  ) {
     this.#throw();
-    return await super.changes(prefix, after, waitMs);
+    return await super.changes(prefix, after, options);
   }
 
   #throw(): void {
--- a/packages/standins/src/feed_table_standin.ts
+++ b/packages/standins/src/feed_table_standin.ts
@@ -3,6 +3,7 @@
 import {
   type ChangedRow,
   type Changes,
+  type ChangesOptions,
   FeedTable,
   type Snapshot,
 } from "@laburnumtrack/core/feed_table";
@@ -73,7 +74,11 @@
   /** Saves the current rows, which snapshots return under `Stale`. */
   saveStaleSnapshot(): void {
     const rows = this.#table.scanNow("");
-    this.#staleSnapshot = { rows, revision: this.#revision };
+    this.#staleSnapshot = {
+      rows,
+      revision: this.#revision,
+      bytes: sizeOf(rows),
+    };
   }
 
   /** Deletes the change history: readers behind the current revision lose it. */
@@ -107,16 +112,16 @@
     if (this.fault === TableFault.Stale && this.#staleSnapshot !== undefined) {
       const { rows, revision } = this.#staleSnapshot;
       const listed = rows.filter(({ key }) => key.startsWith(prefix));
-      return Ok({ rows: listed, revision });
+      return Ok({ rows: listed, revision, bytes: sizeOf(listed) });
     }
     const rows = this.#table.scanNow(prefix);
-    return Ok({ rows, revision: this.#revision });
+    return Ok({ rows, revision: this.#revision, bytes: sizeOf(rows) });
   }
 
   override async changes(
     prefix: string,
     after: number,
-    waitMs: number,
+    { waitMs, maxBytes = Number.POSITIVE_INFINITY }: ChangesOptions,
   ): Promise<Result<Changes, Fault>> {
     const fault = await this.#admit();
     if (fault !== undefined) return Err(fault);
@@ -132,6 +137,7 @@
       const rows = this.#changeLog.filter(
         ({ key, revision }) => revision > after && key.startsWith(prefix),
       );
+      if (sizeOf(rows) > maxBytes) return Err(new Fault(FaultCode.TooLarge));
       if (rows.length > 0 || this.#clock.nowMs() >= deadlineMs) {
         return Ok({ rows, revision: this.#revision });
       }
@@ -173,6 +179,10 @@
   }
 }
 
+function sizeOf(rows: readonly { value: string | undefined }[]): number {
+  return rows.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
+
 /** The table as one process accesses it; its calls can be refused on their own. */
 class TableView extends FeedTable {
   readonly #table: FeedTableStandin;
@@ -199,10 +209,10 @@
   override async changes(
     prefix: string,
     after: number,
-    waitMs: number,
+    options: ChangesOptions,
   ): Promise<Result<Changes, Fault>> {
     return await this.#unlessRefused(() =>
-      this.#table.changes(prefix, after, waitMs),
+      this.#table.changes(prefix, after, options),
     );
   }
 
