--- a/packages/soak/src/config_link_cases_test.ts
+++ b/packages/soak/src/config_link_cases_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { QueueConfigWatcher } from "@laburnumtrack/config/queue_config_watcher";
 import { SystemClock } from "@laburnumtrack/core/clock";
-import { QueueConfigWatcher } from "@laburnumtrack/desk/queue_config_watcher";
 import { JsonClient } from "@laburnumtrack/http_ports/json_client";
 import { PlatformQueues } from "@laburnumtrack/platform/platform_queues";
 import { serveTable } from "@laburnumtrack/platform/platform_standin_server";
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -451,10 +451,10 @@
   },
   {
     name: "a configuration is only replaced by a higher version",
-    file: "packages/desk/src/queue_config_watcher.ts",
+    file: "packages/config/src/queue_config_watcher.ts",
     from: "if (version <= this.#current.version) return;",
     to: "",
-    test: "packages/desk/src/queue_config_watcher_test.ts",
+    test: "packages/config/src/queue_config_watcher_test.ts",
   },
   {
     name: "a submission demands that its id is free",
