fix(platform): requests are not handled by a configuration that may be outdated

Cause: an entry knew its version, not up to when that was the newest one. Class: an answer from knowledge whose age is not known. Change: the follower of the rows knows up to when it has all changes (the time at which a read was sent, or the end of a wait that brought none). Since what was confirmed before a request minus the bound holds every version acknowledged before that, this holds for any trouble, not just this one.

--- a/packages/config/src/queue_config_watcher.ts
+++ b/packages/config/src/queue_config_watcher.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@laburnumtrack/core/clock";
 import type { ChangedRow } from "@laburnumtrack/core/feed_table";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { QueueSource } from "@laburnumtrack/jobs/worker_registry";
@@ -22,12 +23,14 @@
  */
 export class QueueConfigWatcher {
   readonly #source: QueueSource;
+  readonly #clock: Clock;
   readonly #journal: Journal;
   readonly #follower: RowFollower;
   #current = NO_QUEUES;
 
   constructor({ source, ...options }: QueueConfigWatcherOptions) {
     this.#source = source;
+    this.#clock = options.clock;
     this.#journal = options.journal;
     this.#follower = new RowFollower({
       ...options,
@@ -44,6 +47,14 @@
     return this.#current;
   }
 
+  /**
+   * Time in ms for which newer versions may have been stored without being in
+   * use here; infinite before the first one was read.
+   */
+  get ageMs(): number {
+    return this.#clock.nowMs() - this.#follower.confirmedMs;
+  }
+
   /** Whether the table is reachable from this process. */
   get isTableReachable(): boolean {
     return this.#follower.isLoaded && !this.#follower.isTableUnavailable;
@@ -56,12 +67,16 @@
 
   #onRow({ key, value, revision }: ChangedRow): void {
     if (key !== this.#source.key || value === undefined) return;
-    const config = this.#source.decode(value);
+    this.#use(value, { source: "table", revision });
+  }
+
+  #use(text: string, origin: object): void {
+    const config = this.#source.decode(text);
     if (config.err) {
       const cause = config.val.message;
       this.#journal.error(
         "A stored queue configuration cannot be decoded; the former version stays in use.",
-        { cause },
+        { cause, ...origin },
       );
       return;
     }
@@ -71,7 +86,7 @@
     this.#journal.info("A new queue configuration is in use.", {
       version,
       former: this.#current.version,
-      revision,
+      ...origin,
       queues: queues.length,
       pools: pools.length,
     });
--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -46,6 +46,8 @@
   Fenced = "fenced",
   /** A different instance answers at the worker's address. */
   OtherInstance = "other_instance",
+  /** A newer configuration may be in force than the one known here. */
+  ConfigOutdated = "config_outdated",
   /** A request, message or reply could not be parsed or is invalid. */
   Malformed = "malformed",
 }
@@ -78,6 +80,8 @@
   [FaultCode.Fenced]: "the worker has seen a newer leader",
   [FaultCode.OtherInstance]:
     "a different instance answers at the worker's address",
+  [FaultCode.ConfigOutdated]:
+    "the configuration known here may be outdated; try again or elsewhere",
   [FaultCode.Malformed]: "the message is malformed",
 };
 
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -283,6 +283,15 @@
       defaultText: "1000",
       help: "Longest wait for an answer of the table.",
     },
+    {
+      key: "config_max_age_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 500,
+      max: 600_000,
+      defaultText: "3000",
+      help: "Age from which the configuration, if it cannot be confirmed, is not used for requests.",
+    },
     {
       key: "order_timeout_ms",
       kind: FieldKind.Integer,
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -67,6 +67,7 @@
   /** Highest revision seen; snapshots below it are stale. */
   #minRevision: number;
   #snapshotBytes = 0;
+  #confirmedMs = Number.NEGATIVE_INFINITY;
   /** Undefined while calls succeed. */
   #outage: Outage | undefined;
 
@@ -84,6 +85,11 @@
     );
   }
 
+  /** Monotonic ms up to which all changes are known. */
+  get confirmedMs(): number {
+    return this.#confirmedMs;
+  }
+
   /** Whether a snapshot was taken. */
   get isLoaded(): boolean {
     return this.#revision !== undefined;
@@ -91,7 +97,8 @@
 
   /** Reads a snapshot; false when the call fails or the snapshot is stale. */
   async load(): Promise<boolean> {
-    const { table, prefix, listener } = this.#options;
+    const { clock, table, prefix, listener } = this.#options;
+    const sentMs = clock.nowMs();
     const read = await catchErrors(() => table.snapshot(prefix));
     if (read.err) {
       this.#onFailure(read.val.message);
@@ -106,6 +113,7 @@
     const { rows, revision } = read.val;
     this.#notify({ prefix, revision }, () => listener.onSnapshot?.(read.val));
     for (const row of rows) this.#notifyRow(row);
+    this.#confirmedMs = sentMs;
     return true;
   }
 
@@ -120,11 +128,12 @@
   }
 
   async #poll(signal: AbortSignal): Promise<boolean> {
-    const { table, prefix } = this.#options;
+    const { clock, table, prefix } = this.#options;
     const after = this.#revision ?? 0;
     const waitMs =
       this.#outage === undefined ? POLL_WAIT_MS : OUTAGE_POLL_WAIT_MS;
     const maxBytes = this.#maxChangesBytes;
+    const sentMs = clock.nowMs();
     const read = await catchErrors(() =>
       table.changes(prefix, after, { waitMs, maxBytes }),
     );
@@ -145,6 +154,10 @@
     for (const row of read.val.rows) this.#notifyRow(row);
     this.#revision = Math.max(after, read.val.revision);
     this.#minRevision = this.#revision;
+    // The table had no change at the end of a wait that was not cut short.
+    const hasWaited =
+      read.val.rows.length === 0 && clock.nowMs() >= sentMs + waitMs;
+    this.#confirmedMs = hasWaited ? sentMs + waitMs : sentMs;
     return true;
   }
 
