feat(config): an entry that the table does not answer learns the configuration from others

What callers saw: entries that the platform's store refused, while it served the operator and other entries, kept their version until the store took them back. Cause: an entry's own calls to the store were its only source. Entries are known from the rows of relays, which have the address where they answer from now on; processes of the last landing read the rows unchanged, and are not asked.

--- a/packages/config/src/queue_config_watcher.ts
+++ b/packages/config/src/queue_config_watcher.ts
@@ -15,11 +15,23 @@
   readonly source: QueueSource;
 }
 
+/** A configuration that another process has in use. */
+export interface SharedConfig {
+  readonly version: number;
+  /**
+   * Monotonic ms of this process up to which no newer version was stored;
+   * negative infinity if unknown.
+   */
+  readonly confirmedMs: number;
+  /** As stored; undefined if the version is not newer than the requested one. */
+  readonly text: string | undefined;
+}
+
 const NO_QUEUES: QueueConfig = { version: 0, queues: [], pools: [] };
 
 /**
- * Follows the queue configuration that operators store. It only ever moves to a
- * higher version.
+ * Follows the queue configuration that operators store, in the table and from
+ * other processes. It only ever moves to a higher version.
  */
 export class QueueConfigWatcher {
   readonly #source: QueueSource;
@@ -27,6 +39,8 @@
   readonly #journal: Journal;
   readonly #follower: RowFollower;
   #current = NO_QUEUES;
+  #text = "";
+  #sharedConfirmedMs = Number.NEGATIVE_INFINITY;
 
   constructor({ source, ...options }: QueueConfigWatcherOptions) {
     this.#source = source;
@@ -47,12 +61,21 @@
     return this.#current;
   }
 
+  /** The configuration in use as it is stored; empty before the first one. */
+  get text(): string {
+    return this.#text;
+  }
+
   /**
    * Time in ms for which newer versions may have been stored without being in
    * use here; infinite before the first one was read.
    */
   get ageMs(): number {
-    return this.#clock.nowMs() - this.#follower.confirmedMs;
+    const confirmedMs = Math.max(
+      this.#follower.confirmedMs,
+      this.#sharedConfirmedMs,
+    );
+    return this.#clock.nowMs() - confirmedMs;
   }
 
   /** Whether the table is reachable from this process. */
@@ -65,6 +88,13 @@
     await this.#follower.run(signal);
   }
 
+  /** Takes over what another process knows, unless it is older. */
+  adopt({ version, confirmedMs, text }: SharedConfig): void {
+    if (text !== undefined) this.#use(text, { source: "peer" });
+    if (version !== this.#current.version) return;
+    this.#sharedConfirmedMs = Math.max(this.#sharedConfirmedMs, confirmedMs);
+  }
+
   #onRow({ key, value, revision }: ChangedRow): void {
     if (key !== this.#source.key || value === undefined) return;
     this.#use(value, { source: "table", revision });
@@ -91,5 +121,6 @@
       pools: pools.length,
     });
     this.#current = config.val;
+    this.#text = text;
   }
 }
--- a/packages/relay/src/relay_choice_test.ts
+++ b/packages/relay/src/relay_choice_test.ts
@@ -106,6 +106,16 @@
     ),
     isUsable: false,
   },
+  {
+    name: "an administration address",
+    value: JSON.stringify({ ...entry("a", "x"), adminAddress: "10.0.0.1:80" }),
+    isUsable: true,
+  },
+  {
+    name: "an administration address of another type",
+    value: JSON.stringify({ ...entry("a", "x"), adminAddress: 7 }),
+    isUsable: false,
+  },
   {
     name: "a capacity of another type",
     value: JSON.stringify({ ...entry("a", "x"), capacity: "1" }),
--- a/packages/relay/src/relay_directory.ts
+++ b/packages/relay/src/relay_directory.ts
@@ -5,11 +5,16 @@
 import type { Journal } from "@laburnumtrack/process/journal";
 import { Err, Ok, type Result } from "ts-results";
 
-/** An entry process that relays calls for the leader. */
+/** An entry process, which relays calls for the leader. */
 export interface RelayEntry {
   readonly name: string;
   /** `host:port` of its relay server. */
   readonly address: string;
+  /**
+   * `host:port` where it tells other processes its configuration; undefined for
+   * a process of an earlier release.
+   */
+  readonly adminAddress?: string | undefined;
   readonly failureDomain: string;
   /** Processing capacity of its VM in cores. */
   readonly capacity: number;
@@ -51,6 +56,27 @@
   }
 }
 
+/** Reads all entries; rows that cannot be decoded are logged and left out. */
+export async function readRelays(
+  table: Table,
+  journal: Journal,
+): Promise<Result<RelayEntry[], Fault>> {
+  const read = await table.scan(RELAY_PREFIX);
+  return read.map((rows) => {
+    const entries: RelayEntry[] = [];
+    for (const row of rows) {
+      const entry = readRelay(row);
+      if (entry.ok) entries.push(entry.val);
+      else {
+        journal.warn("A relay's row cannot be decoded and is ignored.", {
+          cause: entry.val.message,
+        });
+      }
+    }
+    return entries;
+  });
+}
+
 /** Parses a relay's row. Fault: `Malformed`. */
 export function readRelay({ key, value }: Row): Result<RelayEntry, Fault> {
   let parsed: unknown;
@@ -64,9 +90,16 @@
     typeof entry.name === "string" &&
     typeof entry.address === "string" &&
     isHostPort(entry.address) &&
+    isOptionalAddress(entry.adminAddress) &&
     typeof entry.failureDomain === "string" &&
     Number.isFinite(entry.capacity);
   return isValid
     ? Ok(entry as RelayEntry)
     : Err(new Fault(FaultCode.Malformed, key));
 }
+
+function isOptionalAddress(value: unknown): boolean {
+  return (
+    value === undefined || (typeof value === "string" && isHostPort(value))
+  );
+}
--- a/packages/relay/src/relay_pool.ts
+++ b/packages/relay/src/relay_pool.ts
@@ -3,7 +3,7 @@
 import type { WorkerTarget } from "@laburnumtrack/jobs/task_worker";
 import type { Journal } from "@laburnumtrack/process/journal";
 import { assignRelay, chooseRelays } from "./relay_choice";
-import { RELAY_PREFIX, type RelayEntry, readRelay } from "./relay_directory";
+import { type RelayEntry, readRelays } from "./relay_directory";
 import { RelayLink } from "./relay_link";
 
 /** What the relay pool needs to know of the leader's term. */
@@ -104,20 +104,10 @@
   async #readEntries(): Promise<void> {
     const { clock, table, member, journal } = this.#options;
     if (clock.nowMs() - this.#readMs < READ_INTERVAL_MS) return;
-    const read = await table.scan(RELAY_PREFIX);
+    const read = await readRelays(table, journal);
     if (read.err) return;
     this.#readMs = clock.nowMs();
-    const entries: RelayEntry[] = [];
-    for (const row of read.val) {
-      const entry = readRelay(row);
-      if (entry.ok) entries.push(entry.val);
-      else {
-        journal.warn("A relay's row cannot be decoded and is ignored.", {
-          cause: entry.val.message,
-        });
-      }
-    }
-    this.#entries = entries.filter(({ name }) => name !== member);
+    this.#entries = read.val.filter(({ name }) => name !== member);
   }
 
   #openLinks({ epoch, instance, workers }: LedTerm): void {
