fix(jobs): an accepted job keeps the settings of its queue across takeovers

Cause: only the leader that had the job on its board when the queue was removed knew its pool, priority and limits. Change: the stored job has the settings of its queue at its acceptance; they apply when the configuration has no queue of that name. Jobs stored by the last landing have none, as before; its processes read the new rows unchanged.

--- a/packages/bench/src/shared_vm_world.ts
+++ b/packages/bench/src/shared_vm_world.ts
@@ -3,7 +3,7 @@
 import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { isFinal, JobPhase } from "@laburnumtrack/jobs/job_state";
-import type { Queue } from "@laburnumtrack/jobs/queue_config";
+import type { Queue, QueueSettings } from "@laburnumtrack/jobs/queue_config";
 import { planStarts } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, JobRecord } from "@laburnumtrack/jobs/task";
 import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
@@ -406,7 +406,7 @@
   }
 }
 
-function kindOf(queue: Queue | undefined): keyof typeof WORTH {
+function kindOf(queue: QueueSettings | undefined): keyof typeof WORTH {
   if (queue === FILLER_QUEUE) return "filler";
   return queue === SHORT_QUEUE ? "short" : "serving";
 }
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -3,7 +3,7 @@
 import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { encodeOpenJobRow, jobKey } from "@laburnumtrack/jobs/job_rows";
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
-import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import { type QueueConfig, settingsOf } from "@laburnumtrack/jobs/queue_config";
 import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
 import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
 import { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
@@ -77,6 +77,8 @@
   readonly table = new FeedTableStandin(this.clock);
   readonly fleet: TaskFleetStandin;
   readonly entries: EntryPeer[] = [];
+  /** The configuration that all entries use. */
+  config = CONFIG;
   readonly #desk: JobService;
   readonly #registry: WorkerRegistry;
   readonly #jobIds: string[] = [];
@@ -252,7 +254,8 @@
   #createJob(id: string, spec: string, steps: Partial<Step>[]): Job {
     return {
       id,
-      queue: "q",
+      queue: QUEUE.name,
+      queueSettings: settingsOf(QUEUE),
       spec,
       steps: steps.map((step) => createStep({ ...STEP_DEFAULTS, ...step })),
       repeat: undefined,
@@ -271,7 +274,7 @@
       port: this.fleet.viewOf(name),
       journal,
       metrics: new Metrics(),
-      config: () => CONFIG,
+      config: () => this.config,
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
--- a/packages/jobs/src/board_options.ts
+++ b/packages/jobs/src/board_options.ts
@@ -1,7 +1,7 @@
 import type { Loss, LossChange } from "./crash_losses";
 import type { StopRequest } from "./job_board";
 import type { JobState } from "./job_state";
-import type { Queue } from "./queue_config";
+import type { QueueSettings } from "./queue_config";
 import type { JobRecord, Task } from "./task";
 import type { EndedRun } from "./task_worker";
 import type { WorkerRecord } from "./worker_record";
@@ -28,7 +28,7 @@
 
 /** What adding a job needs besides the job. */
 export interface AddJobOptions {
-  readonly queue?: Queue | undefined;
+  readonly queue?: QueueSettings | undefined;
   /** Stored progress; undefined if there is none. */
   readonly state?: JobState | undefined;
   /** Monotonic ms. */
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "@laburnumtrack/core/resources";
+import type { QueueSettings } from "./queue_config";
 
 /** A group of identical tasks of a job. */
 export interface Step {
@@ -51,6 +52,11 @@
   readonly id: string;
   /** Name of the queue that accepted it. */
   readonly queue: string;
+  /**
+   * Settings of that queue when it accepted the job, which apply once the queue
+   * was removed; undefined for a job stored by an earlier release.
+   */
+  readonly queueSettings?: QueueSettings | undefined;
   /** Opaque text that is passed on to the workers. */
   readonly spec: string;
   readonly steps: readonly Step[];
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -7,14 +7,14 @@
   type StepProgress,
   type StoredLoss,
 } from "./job_state";
-import type { Queue } from "./queue_config";
+import type { QueueSettings } from "./queue_config";
 import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
 
 /** What {@linkcode createJobRecord} needs besides the job. */
 export interface JobRecordOptions {
   /** Revision of the row that the job was read from. */
   readonly revision: number;
-  readonly queue: Queue | undefined;
+  readonly queue: QueueSettings | undefined;
   /** Stored progress; undefined if there is none. */
   readonly state: JobState | undefined;
   /** Run numbers start above this. */
--- a/packages/jobs/src/queue_config.ts
+++ b/packages/jobs/src/queue_config.ts
@@ -1,8 +1,6 @@
-/** A queue that callers submit jobs to. */
-export interface Queue {
+/** How the jobs of a queue are run. */
+export interface QueueSettings {
   readonly name: string;
-  readonly host: string;
-  readonly pathPrefix: string;
   /** Name of the pool of workers that run its tasks. */
   readonly pool: string;
   /** 0 is the most urgent. */
@@ -13,7 +11,19 @@
   readonly stretch: number;
   readonly targetMs: number;
   /** Undefined if any worker of the pool may run its tasks. */
-  readonly advice: AdvisorTimes | undefined;
+  readonly advice?: AdvisorTimes | undefined;
+}
+
+/** A queue that callers submit jobs to. */
+export interface Queue extends QueueSettings {
+  readonly host: string;
+  readonly pathPrefix: string;
+}
+
+/** The settings of a queue without what only concerns its callers. */
+export function settingsOf(queue: Queue): QueueSettings {
+  const { host: _host, pathPrefix: _pathPrefix, ...settings } = queue;
+  return settings;
 }
 
 /** Times of the advisor that decides where tasks of a queue may run. */
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -1,7 +1,7 @@
 import type { Loss } from "./crash_losses";
 import type { Job, Step } from "./job";
 import type { JobPhase } from "./job_state";
-import type { Queue } from "./queue_config";
+import type { QueueSettings } from "./queue_config";
 import type { TaskName } from "./task_worker";
 import type { WorkerRecord } from "./worker_record";
 
@@ -98,7 +98,7 @@
   readonly job: Job;
   /** Revision of the row that it was read from. */
   readonly revision: number;
-  queue: Queue | undefined;
+  queue: QueueSettings | undefined;
   phase: JobPhase;
   /** Unix ms of the last phase change. */
   sinceMs: number;
--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -149,7 +149,9 @@
       closer.add(job.id, revision);
       return;
     }
-    const queue = config().queues.find(({ name }) => name === job.queue);
+    const queue =
+      config().queues.find(({ name }) => name === job.queue) ??
+      job.queueSettings;
     const record = board.addJob(job, revision, {
       queue,
       state,
