fix(leader): counts of waiting jobs that are too old are not given

Cause: a count was given for 10 s after the leader's row was last read; callers expect 2 s. The election, which reads the row, has the limit.

--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -34,6 +34,12 @@
 /** The timeout grows by this multiple of the table's last read latency. */
 const TABLE_LATENCY_FACTOR = 3;
 
+/**
+ * Counts of waiting jobs that were read from the leader's row longer ago are not
+ * given. Callers expect counts of at most 2 s before.
+ */
+const PENDING_MAX_AGE_MS = 4000;
+
 /** The leadership row as this process last read or wrote it. */
 export interface LeaderView {
   readonly row: LeadershipRow;
@@ -82,6 +88,19 @@
     return { row: this.#term.row, readMs: this.#options.clock.nowMs() };
   }
 
+  /**
+   * Number of jobs of a queue that have not started, as the leader last stored
+   * it; undefined if that is too long ago.
+   */
+  countPending(queue: string): number | undefined {
+    const { view } = this;
+    if (view === undefined) return undefined;
+    const ageMs = this.#options.clock.nowMs() - view.readMs;
+    return ageMs > PENDING_MAX_AGE_MS
+      ? undefined
+      : (view.row.pending[queue] ?? 0);
+  }
+
   /** Follows and leads until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, journal } = this.#options;
