fix(platform): names of hosts do not differ by case

What callers saw: 404 for a queue that exists, when the host of the request and of the configuration differ by case. Cause: they were compared letter for letter; HTTP compares them without case.

--- a/packages/jobs/src/queue_config.ts
+++ b/packages/jobs/src/queue_config.ts
@@ -16,6 +16,7 @@
 
 /** A queue that callers submit jobs to. */
 export interface Queue extends QueueSettings {
+  /** In lower case: names of hosts do not differ by case. */
   readonly host: string;
   readonly pathPrefix: string;
 }
@@ -52,7 +53,7 @@
   readonly pools: readonly Pool[];
 }
 
-/** Finds the queue of the host with the longest prefix of the path. */
+/** Finds the queue of the host, in lower case, with the longest prefix of the path. */
 export function findQueue(
   config: QueueConfig,
   host: string,
