test(soak): the configuration in use is checked while it changes

Until now the soak wrote the same queue under each version and looked at no configuration. Four probers ask all entries, over connections that they keep, for queues that were added and removed, and check each answer against the versions that may be in use: none older than one acknowledged 2 s before, none older than one that the process used before.

--- a/packages/bench/src/leader_bench.ts
+++ b/packages/bench/src/leader_bench.ts
@@ -147,7 +147,7 @@
   }
 
   async #start(): Promise<number> {
-    const rows = [describeConfig(1, QUEUE)];
+    const rows = [describeConfig(1, { ...QUEUE, unused: 0 })];
     for (let index = 0; index < this.#point.workers; index += 1) {
       const id = `w${index}`;
       const listener = await listenHttp("127.0.0.1:0", (request, response) => {
--- a/packages/soak/src/config_link_cases_test.ts
+++ b/packages/soak/src/config_link_cases_test.ts
@@ -19,7 +19,6 @@
 const POLL_INTERVAL_MS = 20;
 /** A version of this size takes 0.45 s on the link, encoded. */
 const VERSION_BYTES = 42_000;
-const LINK_BYTES_PER_S = 125_000;
 
 /** A version of this size takes 1.5 s on the link, encoded. */
 const LARGE_VERSION_BYTES = 140_000;
@@ -84,7 +83,7 @@
       void serveTable(table, request, response);
     });
     const link = await LoopbackProxy.open(server.address);
-    link.bytesPerS = LINK_BYTES_PER_S;
+    link.isNarrow = true;
     const client = new JsonClient({
       timeoutMs: TABLE_TIMEOUT_MS,
       connections: TABLE_CONNECTIONS,
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -23,6 +23,8 @@
 
 /** Delay of bytes per direction under `LinkFault.Delayed`, in ms. */
 const DELAY_MS = 150;
+/** Bandwidth of a narrow link. */
+const NARROW_BYTES_PER_S = 125_000;
 /** Size of the pieces in which answers pass a link of limited bandwidth. */
 const SLICE_BYTES = 2048;
 
@@ -38,8 +40,8 @@
   /** Time in ms at which the link has passed all answers so far. */
   #freeAtMs = 0;
   fault = LinkFault.None;
-  /** Bandwidth that the answers of all connections share. */
-  bytesPerS = Number.POSITIVE_INFINITY;
+  /** Whether answers pass at a low bandwidth, which all connections share. */
+  isNarrow = false;
 
   private constructor(target: string) {
     this.#target = target;
@@ -97,7 +99,7 @@
         this.fault === LinkFault.Silent ||
         (this.fault === LinkFault.OneWay && isAnswer);
       if (isDropping) return;
-      if (isAnswer && Number.isFinite(this.bytesPerS)) {
+      if (isAnswer && this.isNarrow) {
         void this.#passAtBandwidth(bytes, from, to);
         return;
       }
@@ -122,7 +124,7 @@
     for (let start = 0; start < bytes.length; start += SLICE_BYTES) {
       const slice = bytes.subarray(start, start + SLICE_BYTES);
       const nowMs = performance.now();
-      const durationMs = (slice.length / this.bytesPerS) * 1000;
+      const durationMs = (slice.length / NARROW_BYTES_PER_S) * 1000;
       this.#freeAtMs = Math.max(nowMs, this.#freeAtMs) + durationMs;
       await sleep(this.#freeAtMs - nowMs);
       if (!to.writable) return;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,5 +1,8 @@
 import { SeededRandom } from "@laburnumtrack/standins/dice";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
+import { APPLY_LIMIT_MS, checkConfig } from "./config_checks";
+import { type ConfigProbe, ConfigProber } from "./config_prober";
+import { ConfigTrouble } from "./config_trouble";
 import { SoakCaller } from "./soak_caller";
 import { checkSoak } from "./soak_checks";
 import { FaultInjector } from "./soak_trouble";
@@ -29,6 +32,10 @@
   readonly jobs: number;
   /** Number of runs that workers started. */
   readonly runs: number;
+  /** Number of versions of the configuration. */
+  readonly versions: number;
+  /** Number of answers by which the configuration in use was checked. */
+  readonly probes: number;
 }
 
 const ENTRY_COUNT = 4;
@@ -36,6 +43,8 @@
 /** Time within which accepted jobs must end once all faults have ended, in ms. */
 const COMPLETION_LIMIT_MS = 25_000;
 const POLL_INTERVAL_MS = 500;
+/** Longest time from the start of a process to its first read, in ms. */
+const START_LIMIT_MS = 3000;
 
 /**
  * Runs the real programs while it submits jobs and injects faults, both derived
@@ -57,7 +66,14 @@
     );
     const injector = new FaultInjector(world, new SeededRandom(seed + 1));
     const ended = new AbortController();
-    const activities = [caller.run(ended.signal), injector.run(ended.signal)];
+    const configTrouble = new ConfigTrouble(world, new SeededRandom(seed + 3));
+    const prober = new ConfigProber(world, new SeededRandom(seed + 2));
+    const activities = [
+      caller.run(ended.signal),
+      injector.run(ended.signal),
+      configTrouble.run(ended.signal),
+      prober.run(ended.signal),
+    ];
     await world.clock.sleep(seconds * 1000);
     ended.abort();
     await Promise.all(activities);
@@ -71,7 +87,17 @@
     const { history, acknowledged } = world.fleet;
     const record = { jobs: caller.jobs, states, history, acknowledged };
     return {
-      violations: [...world.violations, ...checkSoak(record)],
+      violations: [
+        ...world.violations,
+        ...checkSoak(record),
+        ...checkConfig({
+          versions: world.versions,
+          probes: prober.probes,
+          isStartOutdated: (probe) => isStartOutdated(world, probe),
+        }),
+      ],
+      versions: world.versions.length,
+      probes: prober.probes.length,
       injectedFaults: injector.injected,
       accepted: caller.jobs.filter(({ isAccepted }) => isAccepted).length,
       jobs: caller.jobs.length,
@@ -82,6 +108,25 @@
   }
 }
 
+/**
+ * Whether a process may not know better than an outdated read that it took at
+ * its start; later ones are refused as such.
+ */
+function isStartOutdated(
+  { entries, outdatedReads }: SoakWorld,
+  { entry, start, sentMs }: ConfigProbe,
+): boolean {
+  const probed = entries.find(({ name }) => name === entry);
+  if (probed === undefined) return false;
+  const startMs = probed.startsMs[start - 1] ?? 0;
+  return outdatedReads.some(
+    ({ fromMs, toMs }) =>
+      startMs > fromMs - START_LIMIT_MS &&
+      startMs < toMs &&
+      sentMs < toMs + APPLY_LIMIT_MS,
+  );
+}
+
 /** Polls accepted jobs until all have ended or the time limit has passed. */
 async function readFinalStates(
   { clock }: SoakWorld,
--- a/packages/soak/src/soak_caller.ts
+++ b/packages/soak/src/soak_caller.ts
@@ -106,7 +106,8 @@
         job.isAccepted = true;
         return;
       }
-      const isRefused = status === 429 || status === 503;
+      if (status === 404) job.impossibleStates.push("submit: no such queue");
+      const isRefused = status === 429 || status === 503 || status === 404;
       if (!isRefused) job.isOutcomeUnknown = true;
       await this.#clock.sleep(RETRY_PAUSE_MS);
     }
@@ -130,6 +131,7 @@
     const entry = this.#dice.pick(this.#entries);
     const { status, state } = await this.#call(entry, "GET", job.id);
     if (status === 410) job.impossibleStates.push("unknown");
+    if (status === 404) job.impossibleStates.push("no such queue");
     if (IMPOSSIBLE_STATES.has(state)) job.impossibleStates.push(state);
   }
 
--- a/packages/soak/src/soak_trouble.ts
+++ b/packages/soak/src/soak_trouble.ts
@@ -101,6 +101,11 @@
       case SoakFault.Table:
         table.saveStaleSnapshot();
         table.fault = this.#dice.pick(TABLE_FAULTS);
+        if (table.fault === TableFault.Stale) {
+          const fromMs = this.#world.clock.nowMs();
+          const toMs = fromMs + durationMs;
+          this.#world.outdatedReads.push({ fromMs, toMs });
+        }
         this.#scheduleUndo(durationMs, () => {
           table.fault = TableFault.None;
         });
--- a/packages/soak/src/soak_world.ts
+++ b/packages/soak/src/soak_world.ts
@@ -17,6 +17,7 @@
 import { catchesSignal } from "@laburnumtrack/standins/caught_signals";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
 import { TaskFleetStandin } from "@laburnumtrack/standins/task_fleet_standin";
+import { APPLY_LIMIT_MS, type WrittenVersion } from "./config_checks";
 import { LoopbackProxy } from "./loopback_proxy";
 
 /** Size of the test environment and location of its programs. */
@@ -40,6 +41,8 @@
   readonly tableLink: LoopbackProxy;
   child: ChildProcess | undefined;
   isPaused: boolean;
+  /** Monotonic ms of each start of its process. */
+  readonly startsMs: number[];
   /** Whether the process has written to its log, which it does once loaded. */
   hasPrinted: boolean;
   /** The test ended or killed the process: its exit is not a violation. */
@@ -47,7 +50,12 @@
 }
 
 /** Queue to which the jobs are submitted. */
-export const QUEUE = { host: "jobs.example", prefix: "/jobs/", pool: "pool" };
+export const QUEUE = {
+  host: "jobs.example",
+  prefix: "/jobs/",
+  pool: "pool",
+  unused: 200,
+};
 
 /** Time limit for all entries to become ready, in ms. */
 const READY_TIMEOUT_MS = 15_000;
@@ -72,10 +80,14 @@
   readonly workerLinks = new Map<string, LoopbackProxy>();
   /** Misbehaviour of the environment or its processes, one line each. */
   readonly violations: string[] = [];
+  /** The versions of the configuration so far. */
+  readonly versions: WrittenVersion[] = [];
+  /** Times in ms at which the table's reads may have been outdated. */
+  readonly outdatedReads: { readonly fromMs: number; readonly toMs: number }[] =
+    [];
   readonly #options: SoakWorldOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "laburnumtrack-soak-"));
   readonly #listeners: Listener[] = [];
-  #version = 0;
   #isStopped = false;
 
   private constructor(options: SoakWorldOptions) {
@@ -98,8 +110,12 @@
 
   /** Writes the configuration under a new version. */
   async writeConfig(): Promise<void> {
-    this.#version += 1;
-    await this.#commitRows([describeConfig(this.#version, QUEUE)]);
+    const index = this.versions.length;
+    const sentMs = this.clock.nowMs();
+    this.versions.push({ sentMs, acknowledgedMs: undefined });
+    const isStored = await this.#commitRows([describeConfig(index + 1, QUEUE)]);
+    const acknowledgedMs = isStored ? this.clock.nowMs() : undefined;
+    this.versions[index] = { sentMs, acknowledgedMs };
   }
 
   /** The entry that holds the leadership in the table; undefined if none does. */
@@ -191,6 +207,7 @@
         `admin_address = ${host}:${admin}`,
         `table_url = http://${tableLink.address}`,
         "shutdown_ms = 1500",
+        `config_max_age_ms = ${APPLY_LIMIT_MS}`,
         `relay_min_workers = ${RELAY_MIN_WORKERS}`,
       ];
       writeFileSync(settings, `${lines.join("\n")}\n`);
@@ -201,6 +218,7 @@
         tableLink,
         child: undefined,
         isPaused: false,
+        startsMs: [],
         hasPrinted: false,
         isEndExpected: false,
       };
@@ -221,6 +239,7 @@
     entry.child = child;
     entry.isEndExpected = false;
     entry.isPaused = false;
+    entry.startsMs.push(this.clock.nowMs());
     entry.hasPrinted = false;
     const { logs } = this.#options;
     const file =
@@ -250,13 +269,14 @@
     }, RESTART_DELAY_MS);
   }
 
-  async #commitRows(rows: { key: string; value: string }[]): Promise<void> {
+  async #commitRows(rows: { key: string; value: string }[]): Promise<boolean> {
     const writes = rows.map(({ key, value }) => ({ key, value }));
     const done = await this.table.commit({ checks: [], writes });
     if (done.err)
       this.violations.push(
         `stand-in table refused a commit: ${done.val.message}`,
       );
+    return done.ok;
   }
 }
 
