fix(platform): commits and changes do not wait behind reads of all rows

Cause: a leader that takes over reads all jobs, 16 partitions at once, on the 16 connections that its commits use as well. On a link of 10 Mbit/s that takes seconds, in which no commit is sent ('not sent after 1000 ms') or answered in time; after 1 s the next candidate takes over, and reads all jobs. Class: small urgent calls that wait behind large ones on one link.

--- a/packages/soak/src/config_link_cases_test.ts
+++ b/packages/soak/src/config_link_cases_test.ts
@@ -91,7 +91,10 @@
     });
     const watcher = new QueueConfigWatcher({
       clock,
-      table: new PlatformTable(client, `http://${link.address}`),
+      table: new PlatformTable(
+        { calls: client, reads: client },
+        `http://${link.address}`,
+      ),
       journal: createJournal("test", "fatal"),
       source: new PlatformQueues(),
     });
--- a/packages/soak/src/loopback_proxy.ts
+++ b/packages/soak/src/loopback_proxy.ts
@@ -23,7 +23,7 @@
 
 /** Delay of bytes per direction under `LinkFault.Delayed`, in ms. */
 const DELAY_MS = 150;
-/** Bandwidth of a narrow link. */
+/** Bandwidth of a narrow link unless another one is set. */
 const NARROW_BYTES_PER_S = 125_000;
 /** Size of the pieces in which answers pass a link of limited bandwidth. */
 const SLICE_BYTES = 2048;
@@ -42,6 +42,7 @@
   fault = LinkFault.None;
   /** Whether answers pass at a low bandwidth, which all connections share. */
   isNarrow = false;
+  narrowBytesPerS = NARROW_BYTES_PER_S;
 
   private constructor(target: string) {
     this.#target = target;
@@ -124,7 +125,7 @@
     for (let start = 0; start < bytes.length; start += SLICE_BYTES) {
       const slice = bytes.subarray(start, start + SLICE_BYTES);
       const nowMs = performance.now();
-      const durationMs = (slice.length / NARROW_BYTES_PER_S) * 1000;
+      const durationMs = (slice.length / this.narrowBytesPerS) * 1000;
       this.#freeAtMs = Math.max(nowMs, this.#freeAtMs) + durationMs;
       await sleep(this.#freeAtMs - nowMs);
       if (!to.writable) return;
