fix(leader): larger VMs take over first also from a lost leader on a small VM

Cause: small VMs yield to larger ones only when the lost leader was on a larger VM. Change: they yield when a larger VM is listed, as the relays are. Evidence: succession_cases_test.ts: the new case fails before (a small VM leads after 1.9 s) and passes after; the tests of faults and relay pass.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -82,6 +82,7 @@
   readonly #desk: JobService;
   readonly #registry: WorkerRegistry;
   readonly #jobIds: string[] = [];
+  readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
   #processCount = 0;
@@ -100,6 +101,7 @@
       (_, index) => workerIds[index] ?? `w${index}`,
     );
     this.#registry = registry;
+    this.#capacities = capacities;
     this.#leaseMs = leaseMs;
     this.#rightMs = rightMs;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
@@ -281,6 +283,7 @@
       member: name,
       instance: `${name}/${this.#processCount}`,
       capacity,
+      largestCapacity: () => Math.max(0, ...this.#capacities),
       // The lower an entry's index, the sooner it tries to become leader.
       timeoutJitter: index / (index + 1),
       isEligible: () => true,
--- a/packages/faults/src/succession_cases_test.ts
+++ b/packages/faults/src/succession_cases_test.ts
@@ -53,6 +53,18 @@
   assert.equal(world.entries[3]?.leadership.term !== undefined, true);
 });
 
+// Guards against a row of leaders on small VMs, none of which has read all jobs
+// before the next one takes over.
+test("leadership: a lost leader on a small VM is succeeded by a large VM", async () => {
+  const capacities = [0.3, 0.3, 0.3, 1.4];
+  const world = new EntryWorld({ entries: 4, workers: 4, capacities });
+  await world.advance(1500);
+  assert.equal(world.leader?.name, "e0");
+  world.table.refused.add("e0");
+  await world.advance(1900);
+  assert.equal(world.entries[3]?.leadership.term !== undefined, true);
+});
+
 test("leadership: waiting jobs stay counted while the next leader loads", async () => {
   const world = new EntryWorld({ entries: 3, workers: 0 });
   await world.advance(2000);
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -14,6 +14,11 @@
   readonly instance: string;
   /** Processing capacity of this VM in cores. */
   readonly capacity: number;
+  /**
+   * Capacity of the largest VM that may take over, in cores, as far as known; it
+   * may have ended.
+   */
+  readonly largestCapacity?: () => number;
   /**
    * Share, from 0 to 1, of the longest jitter that this candidate adds to its
    * timeout, so that candidates differ.
--- a/packages/leader/src/succession.ts
+++ b/packages/leader/src/succession.ts
@@ -15,6 +15,11 @@
   readonly instance: string;
   /** Processing capacity of this VM in cores. */
   readonly capacity: number;
+  /**
+   * Capacity of the largest VM that may take over, in cores, as far as known; it
+   * may have ended.
+   */
+  readonly largestCapacity?: () => number;
 }
 
 /**
@@ -52,9 +57,9 @@
     if (former === undefined) return 0;
     if (former.successor === this.#options.instance) return 0;
     if (former.successor !== "") return SUCCESSOR_TIMEOUT_MS;
-    return isBetter(former.capacity, this.#options.capacity)
-      ? YIELD_DELAY_MS
-      : 0;
+    const { capacity, largestCapacity = () => 0 } = this.#options;
+    const largest = Math.max(former.capacity, largestCapacity());
+    return isBetter(largest, capacity) ? YIELD_DELAY_MS : 0;
   }
 
   /** Writes a bid if this VM is better suited than the leader's. */
