fix(leader): counts of waiting jobs carry their age through takeovers

Cause: a leader that has not read the jobs yet writes the count of the former one into its row anew, so the row looks fresh and the count is as old as the last leader that had read them. Class: an age that is lost on the way. Change: the row says for how long jobs may have been stored that the count lacks; readers add the time since they read it.

--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -100,6 +100,7 @@
     formerRightMs: (value) => value === undefined || isNumber(value),
     leaseMs: (value) => value === undefined || isNumber(value),
     pending: isRecordOf(isNumber),
+    pendingAgeMs: (value) => value === undefined || isNumber(value),
   });
 }
 
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -65,6 +65,11 @@
   readonly silentRuns?: Readonly<Record<string, WorkerRuns>>;
   /** Number of jobs that have not started, by queue. */
   readonly pending: Readonly<Record<string, number>>;
+  /**
+   * Time in ms for which jobs may have been stored that `pending` lacks; absent
+   * in rows of versions that do not keep it.
+   */
+  readonly pendingAgeMs?: number;
 }
 
 /** Request of a candidate on a VM with more CPU to take over leadership. */
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -40,8 +40,8 @@
 const TABLE_LATENCY_FACTOR = 3;
 
 /**
- * Counts of waiting jobs that were read from the leader's row longer ago are not
- * given. Callers expect counts of at most 2 s before.
+ * Counts of waiting jobs that may lack jobs stored longer ago are not given.
+ * Callers expect counts of at most 2 s before.
  */
 const PENDING_MAX_AGE_MS = 4000;
 
@@ -99,11 +99,18 @@
    */
   countPending(queue: string): number | undefined {
     const { view } = this;
-    if (view === undefined) return undefined;
-    const ageMs = this.#options.clock.nowMs() - view.readMs;
-    return ageMs > PENDING_MAX_AGE_MS
-      ? undefined
-      : (view.row.pending[queue] ?? 0);
+    if (view === undefined || this.#pendingAgeMs() > PENDING_MAX_AGE_MS) {
+      return undefined;
+    }
+    return view.row.pending[queue] ?? 0;
+  }
+
+  /** Time in ms for which the last known counts may lack stored jobs. */
+  #pendingAgeMs(): number {
+    const { view } = this;
+    if (view === undefined) return 0;
+    const unreadMs = this.#options.clock.nowMs() - view.readMs;
+    return unreadMs + (view.row.pendingAgeMs ?? 0);
   }
 
   /** Follows and leads until `signal` is aborted. */
@@ -228,6 +235,7 @@
       silent: former?.silent ?? {},
       silentRuns: former?.silentRuns ?? {},
       pending: former?.pending ?? {},
+      pendingAgeMs: Math.round(this.#pendingAgeMs()),
     };
     const sentMs = clock.nowMs();
     const done = await table.commit({
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -46,6 +46,8 @@
   readonly formerLeases: FormerLeases;
   /** Number of jobs of which nothing has started, by queue. */
   readonly pending: () => Record<string, number>;
+  /** Monotonic ms up to which all stored jobs are known. */
+  readonly jobsKnownMs: () => number;
   /** Exports the pressure model for the next leader. */
   readonly exportModel: () => object;
   /** Called once the final state of a job is stored. */
@@ -173,6 +175,14 @@
     }
   }
 
+  #pendingAgeMs(): number {
+    const { clock, jobsKnownMs, held, acquireSentMs } = this.#options;
+    const ageMs = this.#isStateLoaded
+      ? clock.nowMs() - jobsKnownMs()
+      : clock.nowMs() - acquireSentMs + (held.row.pendingAgeMs ?? 0);
+    return Math.round(ageMs);
+  }
+
   /** Commits once; false when the commit failed or its outcome is unknown. */
   async commit({ isReleased, successor }: CommitOptions): Promise<boolean> {
     const { clock, table, metrics } = this.#options;
@@ -194,6 +204,7 @@
       pending: this.#isStateLoaded
         ? this.#options.pending()
         : this.#held.row.pending,
+      pendingAgeMs: this.#pendingAgeMs(),
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
--- a/packages/leader/src/progress_store_test.ts
+++ b/packages/leader/src/progress_store_test.ts
@@ -90,6 +90,7 @@
         silent: {},
       }),
       pending: () => ({}),
+      jobsKnownMs: () => clock.nowMs(),
       exportModel: () => ({}),
       onFinalStored: () => {
         storedFinals += 1;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -169,6 +169,7 @@
       workers: () => this.#board.workers.values(),
       formerLeases: this.#formerLeases,
       pending: () => countPending(this.#board),
+      jobsKnownMs: () => this.#intake.follower.confirmedMs,
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
     });
--- a/packages/standins/src/feed_table_standin.ts
+++ b/packages/standins/src/feed_table_standin.ts
@@ -52,6 +52,8 @@
   readonly refused = new Set<string>();
   /** Names of processes whose commits are refused; they can still read. */
   readonly refusedCommits = new Set<string>();
+  /** Key prefixes of which no snapshots can be read. */
+  readonly refusedPrefixes = new Set<string>();
   /** Additional duration of all calls of a process, in ms, by its name. */
   readonly delaysMs = new Map<string, number>();
 
@@ -109,6 +111,9 @@
   override async snapshot(prefix: string): Promise<Result<Snapshot, Fault>> {
     const fault = await this.#admit();
     if (fault !== undefined) return Err(fault);
+    if (this.refusedPrefixes.has(prefix)) {
+      return Err(new Fault(FaultCode.StoreUnavailable, prefix));
+    }
     if (this.fault === TableFault.Stale && this.#staleSnapshot !== undefined) {
       const { rows, revision } = this.#staleSnapshot;
       const listed = rows.filter(({ key }) => key.startsWith(prefix));
