fix(jobs): runs of a job that is over are stopped by a leader that never knew the job

Cause: a cancelled job's row no longer holds the job, so a leader that takes over does not know it. Its runs, which workers report, count as runs of a job that may still turn up, and are stopped after 2 s; each leader waits anew, and one that leads for less than that stops none of them. Class: a wait that begins anew with each holder. Change: the board notes jobs whose rows say that they are over; their runs are stopped as soon as they are reported. Evidence: cancel_cases_test.ts: a cancelling stored before a takeover, leaders stopped each 1.4 or 0.9 s: before, all 6 tasks run 3.2 s after it, after, none.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -54,6 +54,8 @@
   readonly losses: CrashLosses;
   readonly #listener: BoardListener;
   readonly #options: BoardOptions;
+  /** Jobs that are over, according to their rows; they may be unknown. */
+  readonly #closedJobs = new Set<string>();
   /** Runs of unknown jobs: monotonic ms of their first report, by run. */
   readonly #unknownRuns = new Map<string, number>();
 
@@ -89,6 +91,11 @@
     return record;
   }
 
+  /** Notes that none of a job's tasks may run any more. */
+  onClosed(id: string): void {
+    this.#closedJobs.add(id);
+  }
+
   /** Cancels a job and stops its runs; undefined if unknown or over. */
   cancelJob(id: string, wallMs: number): JobRecord | undefined {
     const record = this.jobs.get(id);
@@ -316,7 +323,7 @@
     return attempt;
   }
 
-  /** Stops a run whose job stays unknown for too long. */
+  /** Stops a run whose job is over, or stays unknown for too long. */
   #onUnknownRun(
     worker: WorkerRecord,
     running: RunningRun,
@@ -324,18 +331,21 @@
   ): void {
     const { jobId, occurrence, step, index } = running.task;
     const key = `${jobId}/${occurrence}/${step}/${index}/${running.run}`;
+    const isClosed = this.#closedJobs.has(jobId);
     const sinceMs = this.#unknownRuns.get(key);
-    if (sinceMs === undefined) {
+    if (sinceMs === undefined && !isClosed) {
       this.#unknownRuns.set(key, nowMs);
       return;
     }
-    if (nowMs - sinceMs < UNKNOWN_RUN_LIMIT_MS) return;
+    const isWaitOver =
+      sinceMs !== undefined && nowMs - sinceMs >= UNKNOWN_RUN_LIMIT_MS;
+    if (!isClosed && !isWaitOver) return;
     this.#unknownRuns.delete(key);
     this.#listener.onStop({
       worker,
       task: running.task,
       run: running.run,
-      reason: "its job is unknown",
+      reason: isClosed ? "its job is over" : "its job is unknown",
     });
   }
 
--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -133,6 +133,7 @@
     }
     const { job, isCancelled } = read.val;
     if (isCancelled) this.#onCancelled(id);
+    if (job === undefined) board.onClosed(id);
     if (job === undefined || board.jobs.has(id)) return;
     // A row may be read again after its job finished.
     if (this.#finished.has(id) || this.#unreadable.has(id)) return;
