--- a/packages/config/src/config_exchange_test.ts
+++ b/packages/config/src/config_exchange_test.ts
@@ -112,6 +112,20 @@
     version: 2,
     isCurrent: false,
   },
+  {
+    name: "a member that uses an older version confirms nothing",
+    act: async ({ table, isolated, watcherOf, store, advance }) => {
+      await store("2");
+      await advance(1000);
+      table.refused.add("a");
+      isolated.add("b").add("c");
+      await advance(3000);
+      const confirmedMs = Number.MAX_SAFE_INTEGER;
+      watcherOf("a").adopt({ version: 1, confirmedMs, text: undefined });
+    },
+    version: 2,
+    isCurrent: false,
+  },
   {
     name: "a version that cannot be decoded is not taken",
     act: async ({ table, store, advance }) => {
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -19,8 +19,108 @@
 const KNOWLEDGE_CASES = "packages/faults/src/takeover_knowledge_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
+const CONFIG_LINK_CASES = "packages/soak/src/config_link_cases_test.ts";
+const CONFIG_EXCHANGE_CASES = "packages/config/src/config_exchange_test.ts";
+const PENDING_CASES = "packages/faults/src/pending_cases_test.ts";
+
 /** What is taken out: in `file`, `from` becomes `to`. */
 const MUTATIONS = [
+  {
+    name: "config: answers may take as long as they keep arriving",
+    file: "packages/http_ports/src/http_exchange.ts",
+    from: "stallMs !== undefined && this.#hasProgressed()",
+    to: "stallMs === -1",
+    test: CONFIG_LINK_CASES,
+  },
+  {
+    name: "config: changes larger than a snapshot are not read",
+    file: "packages/process/src/row_follower.ts",
+    from: "if (!this.#options.preferSnapshots)",
+    to: "if (this.#snapshotBytes >= 0)",
+    test: CONFIG_LINK_CASES,
+  },
+  {
+    name: "config: requests by an outdated configuration are refused",
+    file: "platform/src/caller_server.ts",
+    from: "current.version > 0 && !isConfigCurrent()",
+    to: "current.version < 0 && !isConfigCurrent()",
+    test: "platform/src/caller_server_test.ts",
+  },
+  {
+    name: "config: other processes are asked",
+    file: "packages/config/src/config_exchange.ts",
+    from: "for (const address of this.#choose()) void this.#ask(address);",
+    to: "this.#choose();",
+    test: CONFIG_EXCHANGE_CASES,
+  },
+  {
+    name: "config: the time for which another process has not confirmed it counts",
+    file: "packages/config/src/config_exchange.ts",
+    from: "sentMs - ageMs",
+    to: "sentMs",
+    test: CONFIG_EXCHANGE_CASES,
+  },
+  {
+    name: "config: an older version of another process confirms nothing",
+    file: "packages/config/src/queue_config_watcher.ts",
+    from: "if (version !== this.#current.version) return;",
+    to: "",
+    test: CONFIG_EXCHANGE_CASES,
+  },
+  {
+    name: "config: an outdated snapshot confirms nothing",
+    file: "packages/process/src/row_follower.ts",
+    from: "if (read.val.revision < this.#minRevision) return false;",
+    to: "",
+    test: CONFIG_EXCHANGE_CASES,
+  },
+  {
+    name: "table: commits have connections of their own, few partitions are read at a time",
+    file: "platform/src/platform_table.ts",
+    from: "const CONCURRENT_PARTS = 4;",
+    to: "const CONCURRENT_PARTS = 16;",
+    also: {
+      file: "platform/src/platform_table.ts",
+      from: "const answer = await this.#clients.calls.call({",
+      to: "const answer = await this.#clients.reads.call({",
+    },
+    test: "packages/soak/src/table_link_cases_test.ts",
+  },
+  {
+    name: "leader: counts of waiting jobs have a longest age",
+    file: "packages/leader/src/leader_election.ts",
+    from: "const PENDING_MAX_AGE_MS = 4000;",
+    to: "const PENDING_MAX_AGE_MS = 10_000;",
+    test: PENDING_CASES,
+  },
+  {
+    name: "leader: counts of waiting jobs carry their age",
+    file: "packages/leader/src/leader_election.ts",
+    from: "return unreadMs + (view.row.pendingAgeMs ?? 0);",
+    to: "return unreadMs;",
+    test: PENDING_CASES,
+  },
+  {
+    name: "leader: small VMs yield to larger ones that are listed",
+    file: "packages/leader/src/succession.ts",
+    from: "Math.max(former.capacity, largestCapacity())",
+    to: "former.capacity + 0 * largestCapacity()",
+    test: SUCCESSION_CASES,
+  },
+  {
+    name: "jobs: a job keeps the settings of its removed queue",
+    file: "packages/leader/src/job_intake.ts",
+    from: "      job.queueSettings;",
+    to: "      undefined;",
+    test: "packages/faults/src/removed_queue_cases_test.ts",
+  },
+  {
+    name: "jobs: runs of a job that is over are stopped at once",
+    file: "packages/leader/src/job_intake.ts",
+    from: "if (job === undefined) board.onClosed(id);",
+    to: "",
+    test: "packages/faults/src/cancel_cases_test.ts",
+  },
   {
     name: "crash losses: the start of a suspect is stored before it is sent",
     file: "packages/leader/src/suspect_starts.ts",
