--- a/packages/http_ports/src/http_object_store.ts
+++ b/packages/http_ports/src/http_object_store.ts
@@ -24,7 +24,11 @@
 
   override async get(key: string): Promise<Result<string, Fault>> {
     const url = `${this.#url}/objects/${key}`;
-    const answer = await this.#client.call({ method: "GET", url });
+    const answer = await this.#client.call({
+      method: "GET",
+      url,
+      isOpenEnded: true,
+    });
     if (answer.err) return Err(new Fault(FaultCode.StoreUnavailable, url));
     const { status, text } = answer.val;
     if (status === 200) return Ok(text);
--- a/packages/http_ports/src/http_table.ts
+++ b/packages/http_ports/src/http_table.ts
@@ -69,7 +69,12 @@
   async #read(path: string, body: unknown): Promise<Result<Row[], Fault>> {
     this.load.reads += 1;
     const url = `${this.#url}${path}`;
-    const answer = await this.#client.call({ method: "POST", url, body });
+    const answer = await this.#client.call({
+      method: "POST",
+      url,
+      body,
+      isOpenEnded: true,
+    });
     if (answer.err || answer.val.status !== 200) {
       return Err(new Fault(FaultCode.StoreUnavailable, url));
     }
--- a/packages/http_ports/src/http_vm_list.ts
+++ b/packages/http_ports/src/http_vm_list.ts
@@ -19,7 +19,12 @@
     const headers: Record<string, string> =
       this.#etag === "" ? {} : { "if-none-match": this.#etag };
     const url = `${this.#url}/vms`;
-    const answer = await this.#client.call({ method: "GET", url, headers });
+    const answer = await this.#client.call({
+      method: "GET",
+      url,
+      headers,
+      isOpenEnded: true,
+    });
     if (answer.err) return Err(new Fault(FaultCode.StoreUnavailable, url));
     const { status, text, etag } = answer.val;
     if (status === 304) return Ok(undefined);
