fix(config): a suspended VM does not take its configuration for current

Cause, as in, looked for in the fix itself: the age of the configuration is measured on the monotonic clock, which does not count a suspension. A resumed entry would answer by the version of before, and tell others that it confirmed it just now. Change: when the wall clock has advanced by 0.5 s more than the monotonic one, earlier confirmations do not count any more. A wall clock that is set forward looks the same and costs one read of the table or one question to another entry. Evidence: queue_config_watcher_test.ts, fails without the detector.

--- a/packages/config/src/queue_config_watcher.ts
+++ b/packages/config/src/queue_config_watcher.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { ChangedRow } from "@laburnumtrack/core/feed_table";
+import { SuspensionDetector } from "@laburnumtrack/core/suspension_detector";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { QueueSource } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -38,6 +39,9 @@
   readonly #clock: Clock;
   readonly #journal: Journal;
   readonly #follower: RowFollower;
+  readonly #suspensions: SuspensionDetector;
+  /** Monotonic ms at which the VM was last resumed. */
+  #resumedMs = Number.NEGATIVE_INFINITY;
   #current = NO_QUEUES;
   #text = "";
   #sharedConfirmedMs = Number.NEGATIVE_INFINITY;
@@ -46,6 +50,7 @@
     this.#source = source;
     this.#clock = options.clock;
     this.#journal = options.journal;
+    this.#suspensions = new SuspensionDetector(options.clock);
     this.#follower = new RowFollower({
       ...options,
       prefix: source.prefix,
@@ -71,11 +76,16 @@
    * use here; infinite before the first one was read.
    */
   get ageMs(): number {
+    const nowMs = this.#clock.nowMs();
+    if (this.#suspensions.check()) this.#resumedMs = nowMs;
     const confirmedMs = Math.max(
       this.#follower.confirmedMs,
       this.#sharedConfirmedMs,
     );
-    return this.#clock.nowMs() - confirmedMs;
+    // How long ago an earlier confirmation was is not known.
+    return confirmedMs > this.#resumedMs
+      ? nowMs - confirmedMs
+      : Number.POSITIVE_INFINITY;
   }
 
   /** Whether the table is reachable from this process. */
--- a/packages/config/src/queue_config_watcher_test.ts
+++ b/packages/config/src/queue_config_watcher_test.ts
@@ -53,6 +53,41 @@
   });
 }
 
+/** A clock whose wall time can move on by itself, as in a suspended VM. */
+class SuspendableClock extends VirtualClock {
+  suspendedMs = 0;
+
+  override wallMs(): number {
+    return super.wallMs() + this.suspendedMs;
+  }
+}
+
+const MAX_AGE_MS = 2000;
+
+// Guards against a VM that was suspended and answers, or tells others, by the
+// configuration of before as if no time had passed.
+test("queue config watcher: after a suspension the configuration is not current until it is confirmed", async () => {
+  const clock = new SuspendableClock();
+  const table = new FeedTableStandin(clock);
+  const watch = new QueueConfigWatcher({
+    clock,
+    table,
+    journal: createJournal("test", "fatal"),
+    source: new SourceStandin(),
+  });
+  const over = new AbortController();
+  const running = watch.run(over.signal);
+  await clock.run(clock.nowMs() + 1500);
+  assert.ok(watch.ageMs <= MAX_AGE_MS);
+  clock.suspendedMs = 10_000;
+  assert.ok(watch.ageMs > MAX_AGE_MS);
+  await clock.run(clock.nowMs() + 1500);
+  assert.ok(watch.ageMs <= MAX_AGE_MS);
+  over.abort();
+  await clock.run(clock.nowMs() + 2000);
+  await running;
+});
+
 class SourceStandin extends QueueSource {
   override readonly prefix = "config/";
   override readonly key = "config/current";
