--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -69,22 +69,37 @@
       for (const [number] of this.#ends) this.#endHistory.delete(number);
     }
     for (const run of [...this.runs.values()]) {
+      // Another member of its gang may have ended it.
+      if (this.runs.get(run.task) !== run) continue;
       if (hasLapsed) this.#end(run, "lapsed");
       else if (nowMs >= run.stopMs) this.#end(run, "stopped");
       else if (run.step.gang) this.#tickGang(run, nowMs);
-      else if (!run.step.longRunning && nowMs >= run.startMs + run.workMs) {
+      else if (run.step.longRunning) this.#tickLasting(run, nowMs);
+      else if (nowMs >= run.startMs + run.workMs) {
         this.#end(run, run.fails ? "failed" : "done");
       }
     }
   }
 
+  #tickLasting(run, nowMs) {
+    if (this.#fleet.failsLasting && nowMs >= run.startMs + run.workMs) {
+      this.#end(run, "failed");
+    }
+  }
+
   /** A gang works from the moment when all of its members are present. */
   #tickGang(run, nowMs) {
     const members = this.#fleet.membersOf(run);
     if (members.length === run.step.count) {
       const togetherMs = Math.max(...members.map(({ startMs }) => startMs));
       if (nowMs >= togetherMs + run.workMs) {
-        for (const member of members) member.worker.#end(member, "done");
+        const [first, ...others] = members;
+        const hasFailed = run.fails && this.#fleet.failOnce(run.task);
+        first.worker.#end(first, hasFailed ? "failed" : "done");
+        for (const member of others) {
+          member.worker.#end(member, hasFailed ? "broken" : "done");
+        }
+        return;
       }
     } else if (run.wasWhole) this.#end(run, "broken");
     else if (nowMs >= run.startMs + GANG_TIMEOUT_MS) this.#end(run, "alone");
@@ -261,10 +276,14 @@
   slots = [];
   /** All runs that a worker has begun. */
   history = [];
+  /** Whether tasks that last fail `workMs` after their start. */
+  failsLasting = false;
   #store;
   #service;
   #onEvent;
   #jobs = new Map();
+  /** Steps of gangs of which a run has failed. */
+  #failedOnce = new Set();
   #timer = setInterval(() => this.#tick(), TICK_MS);
 
   constructor({ store, service, onEvent }) {
@@ -341,6 +360,14 @@
     await expiry;
   }
 
+  /** Whether a gang fails now: its first run does, if its spec says so. */
+  failOnce(task) {
+    const step = task.slice(0, task.lastIndexOf("."));
+    if (this.#failedOnce.has(step)) return false;
+    this.#failedOnce.add(step);
+    return true;
+  }
+
   /** Members of the run of a gang that are present. */
   membersOf({ task, run }) {
     const step = task.slice(0, task.lastIndexOf("."));
--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -21,6 +21,8 @@
 const RESTART_DELAY_MS = 500;
 const READY_INTERVAL_MS = 1000;
 const READY_MISSES = 2;
+/** A script may run for 120 s. */
+const TOTAL_LIMIT_MS = 115_000;
 /** Time limit of a client's request, as on the users' sheet. */
 const CLIENT_TIMEOUT_MS = 3000;
 const CLIENT_TRIES = 5;
@@ -137,6 +139,9 @@
       onEvent: (text) => this.record(text),
     });
     process.on("exit", () => this.#killAll());
+    setTimeout(() => {
+      this.finish(Exit.NotRun, "the case couldn't run: it took too long");
+    }, TOTAL_LIMIT_MS).unref();
     for (const signal of ["SIGINT", "SIGTERM"]) {
       process.on(signal, () => process.exit(Exit.NotRun));
     }
