feat(leader): send an unanswered order again before it times out

Cause: an order without an answer was repeated only after its time-out of 600 ms, or 900 ms by way of a relay. Starts and stops have one effect however often they arrive, so they are sent again once the answer is overdue by the estimate of RFC 6298, and the first answer counts.

--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -301,6 +301,15 @@
       defaultText: "600",
       help: "Longest wait for a worker's answer to an order.",
     },
+    {
+      key: "order_resend_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 0,
+      max: 60_000,
+      defaultText: "0",
+      help: "Shortest wait for an answer before an order is sent to the worker again; 0: only after it failed.",
+    },
     {
       key: "lease_ms",
       kind: FieldKind.Integer,
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -20,6 +20,7 @@
 import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
+import { OrderLatency } from "./order_latency";
 import { type HeldLeadership, ProgressStore } from "./progress_store";
 import { RowCloser } from "./row_closer";
 import { RunMonitor } from "./run_monitor";
@@ -47,6 +48,11 @@
   readonly leaderLeaseMs: number;
   /** Time that a task takes to resume from its checkpoint, in ms. */
   readonly restoreMs: number;
+  /**
+   * Shortest time without an answer after which an order is sent again, in ms;
+   * by default, only failed orders are.
+   */
+  readonly orderResendMs?: number;
   readonly succession: Succession;
 }
 
@@ -325,6 +331,7 @@
         board: this.#board,
         epoch: held.row.epoch,
         leaseMs: grantedLeaseMs(this.#options.leaseMs),
+        latency: new OrderLatency(this.#options.orderResendMs ?? 0),
         maySendOrders: () =>
           this.#leaderLease.isValid &&
           !this.#isLost &&
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -16,6 +16,8 @@
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
+import type { OrderLatency } from "./order_latency";
+import { sendWithResends } from "./resent_order";
 import { WorkerClock } from "./worker_clock";
 
 /** Options that the links of a term share. */
@@ -29,6 +31,8 @@
   readonly epoch: number;
   /** Length of the leases to grant, in ms. */
   readonly leaseMs: number;
+  /** How long workers take to answer orders. */
+  readonly latency: OrderLatency;
   /** Whether this leader may still send orders. */
   readonly maySendOrders: () => boolean;
   /** Called when a worker refuses an order because it knows a newer leader. */
@@ -136,32 +140,43 @@
 
   /** Sends a start, with retries, and reports the outcome to the board. */
   async start(attempt: Attempt): Promise<void> {
-    const { clock, board, port, maySendOrders, metrics } = this.#options;
-    let isUncertain = false;
-    for (let tries = 0; tries < MAX_ORDER_TRIES; tries += 1) {
-      if (attempt.phase !== AttemptPhase.Starting || !maySendOrders()) break;
-      const leaseUntilMs = this.#grantLease();
-      if (leaseUntilMs === undefined) break;
-      const { task, run } = attempt;
-      const sentMs = clock.nowMs();
-      const reply = await port.start(this.worker.info, {
-        task: taskNameOf(task),
-        run,
-        spec: task.stepRun.record.job.spec,
-        epoch: this.#options.epoch,
-        leaseUntilMs,
-        checkpoint: task.checkpoint,
-        ticket: "",
-      });
-      metrics.recordMs("start_order", clock.nowMs() - sentMs);
-      if (reply.ok) {
-        this.#onStartReply(attempt, reply.val, isUncertain);
-        return;
-      }
-      this.#onOrderFault(reply.val);
-      if (reply.val.code === FaultCode.Fenced) return;
-      if (reply.val.code === FaultCode.OutcomeUnknown) isUncertain = true;
+    const { clock, board, port, maySendOrders, metrics, latency } =
+      this.#options;
+    const { value, isFenced, isUncertain } = await sendWithResends({
+      clock,
+      maxTries: MAX_ORDER_TRIES,
+      resendDelayMs: latency.resendDelayMs,
+      send: () => {
+        if (attempt.phase !== AttemptPhase.Starting || !maySendOrders()) {
+          return undefined;
+        }
+        const leaseUntilMs = this.#grantLease();
+        if (leaseUntilMs === undefined) return undefined;
+        const { task, run } = attempt;
+        const sentMs = clock.nowMs();
+        const call = port.start(this.worker.info, {
+          task: taskNameOf(task),
+          run,
+          spec: task.stepRun.record.job.spec,
+          epoch: this.#options.epoch,
+          leaseUntilMs,
+          checkpoint: task.checkpoint,
+          ticket: "",
+        });
+        return call.then((reply) => {
+          const tookMs = clock.nowMs() - sentMs;
+          metrics.recordMs("start_order", tookMs);
+          if (reply.ok) latency.record(tookMs);
+          return reply;
+        });
+      },
+      onFault: (fault) => this.#onOrderFault(fault),
+    });
+    if (value !== undefined) {
+      this.#onStartReply(attempt, value, isUncertain);
+      return;
     }
+    if (isFenced) return;
     if (!isUncertain && attempt.phase === AttemptPhase.Starting) {
       board.onRefused(attempt, clock.nowMs() + REFUSAL_BACKOFF_MS);
       this.#backOff();
@@ -200,17 +215,20 @@
   }
 
   async #sendStop({ task, run }: StopRequest): Promise<void> {
-    const { port, epoch, maySendOrders } = this.#options;
-    for (let tries = 0; tries < MAX_ORDER_TRIES; tries += 1) {
-      if (!maySendOrders()) return;
-      const done = await port.stop(this.worker.info, { task, run, epoch });
-      if (done.ok) {
-        this.#onStopped(task, run);
-        return;
-      }
-      this.#onOrderFault(done.val);
-      if (done.val.code === FaultCode.Fenced) return;
-    }
+    const { clock, port, epoch, maySendOrders, latency } = this.#options;
+    const { value, isFenced } = await sendWithResends({
+      clock,
+      maxTries: MAX_ORDER_TRIES,
+      resendDelayMs: latency.resendDelayMs,
+      send: () =>
+        maySendOrders()
+          ? port
+              .stop(this.worker.info, { task, run, epoch })
+              .then((done) => done.map(() => true))
+          : undefined,
+      onFault: (fault) => this.#onOrderFault(fault),
+    });
+    if (value !== undefined && !isFenced) this.#onStopped(task, run);
   }
 
   #onStopped({ jobId, occurrence, step, index }: TaskName, run: number): void {
