fix(jobs): a gang that finds no room keeps its run number

planGang recorded the members it could place and took them back when one did not fit, but their last run number and checkpoint stayed changed. While a gang waited, its number rose with each planning round (up to 100 per second), beyond the range of its epoch. The next leader counts from a lower number, and workers that have run the gang before refuse its runs as old; the members on other workers then end alone (rule GANG).

A round that starts nothing now restores run numbers and checkpoints.

--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -202,7 +202,8 @@
   for (const task of waiting) releaseRoom(task);
   const open = stepRun.tasks.filter((task) => !task.isDone);
   if (waiting.length < open.length) return;
-  const run = 1 + Math.max(...open.map(({ lastRun }) => lastRun));
+  const before = open.map(({ lastRun, checkpoint }) => ({ lastRun, checkpoint }));
+  const run = 1 + Math.max(...before.map(({ lastRun }) => lastRun));
   const checkpoint = open.find((task) => task.checkpoint !== "")?.checkpoint;
   const planned: Attempt[] = [];
   const candidates = new StepCandidates(stepRun, pool.workers, {
@@ -218,6 +219,12 @@
       for (const attempt of planned) {
         board.onRefused(attempt, Number.NEGATIVE_INFINITY);
       }
+      // The next leader counts runs from a fixed number per epoch. If rounds
+      // without a start raised the number, it would order older runs than this
+      // leader, which workers refuse.
+      for (const [index, member] of open.entries()) {
+        Object.assign(member, before[index]);
+      }
       return;
     }
     task.checkpoint = checkpoint ?? "";
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -493,6 +493,47 @@
   ]);
 });
 
+// Guards against run numbers that the next leader does not reach, so that workers
+// refuse its runs as old.
+test("start planner: a gang that waits for room keeps its run number and checkpoints", () => {
+  const board = createBoard({
+    name: "",
+    workers: [["w"], ["x"]],
+    jobs: [
+      { id: "a", steps: [{ isGang: true, count: 3, resources: ALL_CORES }] },
+    ],
+    starts: [],
+  });
+  const tasks = board.jobs.get("a")?.occurrences[0]?.[0]?.tasks ?? [];
+  const [first, second, third] = tasks;
+  assert.ok(first && second && third);
+  first.lastRun = 4;
+  third.checkpoint = "c";
+  const plan = () =>
+    planStarts(board, {
+      nowMs: 0,
+      wallMs: 0,
+      limit: 100,
+      model: new InterferenceModel(),
+      isUsable: () => true,
+      areRunsKnown: () => true,
+    });
+  for (let round = 0; round < 300; round += 1) assert.deepEqual(plan(), []);
+  assert.deepEqual(
+    tasks.map(({ lastRun, checkpoint }) => [lastRun, checkpoint]),
+    [
+      [4, ""],
+      [0, ""],
+      [0, "c"],
+    ],
+  );
+  board.addWorker(createWorkerInfo("y"));
+  assert.deepEqual(
+    plan().map(({ run }) => run),
+    [5, 5, 5],
+  );
+});
+
 function createBoard({ workers, jobs }: Case): JobBoard {
   const board = new JobBoard(
     { onChanged: () => {}, onStop: () => {}, onEnd: () => {} },
