--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -202,7 +202,10 @@
   for (const task of waiting) releaseRoom(task);
   const open = stepRun.tasks.filter((task) => !task.isDone);
   if (waiting.length < open.length) return;
-  const before = open.map(({ lastRun, checkpoint }) => ({ lastRun, checkpoint }));
+  const before = open.map(({ lastRun, checkpoint }) => ({
+    lastRun,
+    checkpoint,
+  }));
   const run = 1 + Math.max(...before.map(({ lastRun }) => lastRun));
   const checkpoint = open.find((task) => task.checkpoint !== "")?.checkpoint;
   const planned: Attempt[] = [];
