fix(jobs): absence from a report proves nothing while more ends follow

A report holds at most 500 ends. While the table is down, ends are not acknowledged, so a worker that keeps more of them leaves the newest out. Only inherited runs heeded hasMore.

With hasMore, an attempt that is not listed now keeps its state: it is neither missing, nor given free after an answered stop, nor stalled. The same cause elsewhere: the runs of unknown jobs were forgotten with such a report, so that a job which became known later started its tasks again; and runs that a former leader stored were adopted beside an incomplete list twice, or for a former incarnation of the worker.

TaskFleetStandin limits the ends in a report.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -175,7 +175,10 @@
       if (isKnown) this.#onEnded(worker, ended, times);
       else if (!isComplete) worker.deferredEnds.push(ended);
     }
-    worker.unknownRuns = [];
+    // Runs of unknown jobs may have ended among the ends that follow.
+    worker.unknownRuns = report.hasMore
+      ? worker.unknownRuns.filter((run) => !isReported(run, report))
+      : [];
     const listed = new Set<Attempt>();
     for (const running of report.running) {
       const attempt = this.#onRunning(worker, running, times);
@@ -183,8 +186,10 @@
     }
     for (const attempt of [...worker.attempts]) {
       if (listed.has(attempt)) attempt.isInherited = false;
+      // Its end may be among those that follow, so nothing is known of it.
+      else if (report.hasMore) attempt.progressMs = times.nowMs;
       // The worker answers this leader, so it refuses a start of a former one.
-      else if (attempt.isInherited && !report.hasMore) this.#detach(attempt);
+      else if (attempt.isInherited) this.#detach(attempt);
       else this.#onMissing(attempt, times.sentMs);
     }
     this.losses.onReport(worker);
@@ -208,6 +213,10 @@
     const task = record && findTask(record, name);
     if (record === undefined || task === undefined) return;
     if (isFinal(record.phase) || task.isDone) return;
+    const isListed = task.attempts.some(
+      (one) => one.worker === worker && one.run === run,
+    );
+    if (isListed) return;
     const attempt = this.#attach(task, run, worker, nowMs);
     attempt.confirmedMs = nowMs;
     attempt.isInherited = true;
@@ -517,3 +526,22 @@
     attempt.worker.remove(attempt);
   }
 }
+
+/** Whether a report lists the run as running or ended. */
+function isReported(
+  { task, run }: RunningRun,
+  { running, ended }: WorkerReport,
+): boolean {
+  return [...running, ...ended].some(
+    (other) => other.run === run && isSameTask(other.task, task),
+  );
+}
+
+function isSameTask(a: TaskName, b: TaskName): boolean {
+  return (
+    a.jobId === b.jobId &&
+    a.occurrence === b.occurrence &&
+    a.step === b.step &&
+    a.index === b.index
+  );
+}
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -4,6 +4,7 @@
 import { JobBoard, type StopRequest } from "./job_board";
 import { createJobRecord, stateOf } from "./job_record";
 import { JobPhase } from "./job_state";
+import { listStalled } from "./stalled_runs";
 import type { JobRecord, Task } from "./task";
 import {
   type EndedRun,
@@ -232,6 +233,66 @@
       assert.equal(taskOf(record).attempts.length, 0);
     },
   },
+  {
+    name: "a run is not taken for missing while its worker has more ends to report",
+    act: ({ add, start, report, stops }) => {
+      const record = add([{}]);
+      start(record);
+      for (const sentMs of [5000, 5100, 5200, 5300]) {
+        report({ hasMore: true }, { sentMs, nowMs: sentMs });
+      }
+      assert.equal(stops.length, 0);
+      assert.equal(taskOf(record).attempts.length, 1);
+      report({ ended: [ended(1, RunEnd.Done)] }, { sentMs: 5400 });
+      assert.equal(record.phase, JobPhase.Completed);
+    },
+  },
+  {
+    name: "a stopped run is kept while its worker has more ends to report",
+    act: ({ board, add, start, report }) => {
+      const record = add([{}]);
+      report({});
+      start(record);
+      const [attempt] = taskOf(record).attempts;
+      assert.ok(attempt);
+      board.stop(attempt, "test");
+      attempt.stoppedMs = 50;
+      report({ hasMore: true }, { sentMs: 100 });
+      assert.equal(taskOf(record).attempts.length, 1);
+      report({}, { sentMs: 200 });
+      assert.equal(taskOf(record).attempts.length, 0);
+    },
+  },
+  {
+    name: "a run that more ends may tell of does not count as stalled",
+    act: ({ board, add, start, report }) => {
+      const record = add([{}]);
+      report({});
+      start(record);
+      report({ hasMore: true }, { sentMs: 5000, nowMs: 5000 });
+      assert.deepEqual(listStalled(workerOf(board), 5000), []);
+    },
+  },
+  {
+    name: "a run of an unknown job may have ended while there are more ends",
+    act: ({ board, add, report }) => {
+      report({ running: [running(1)] }, { nowMs: 100 });
+      report({ hasMore: true }, { nowMs: 200 });
+      assert.equal(workerOf(board).unknownRuns.length, 1);
+      assert.equal(taskOf(add([{}])).attempts.length, 1);
+      report({ ended: [ended(1, RunEnd.Done)] }, { nowMs: 300 });
+      assert.equal(board.jobs.get("a")?.phase, JobPhase.Completed);
+    },
+  },
+  {
+    name: "a run of an unknown job that has ended is not kept as running",
+    act: ({ board, report }) => {
+      report({ running: [running(1)] }, { nowMs: 100 });
+      const ends = [ended(1, RunEnd.Done)];
+      report({ ended: ends, hasMore: true }, { nowMs: 200 });
+      assert.equal(workerOf(board).unknownRuns.length, 0);
+    },
+  },
   {
     name: "the other runs of a gang that is done are stopped",
     act: ({ add, start, report, stops }) => {
--- a/packages/jobs/src/stored_runs.ts
+++ b/packages/jobs/src/stored_runs.ts
@@ -85,6 +85,8 @@
   for (const [id, { bornMs, runs }] of stored) {
     const worker = board.workers.get(id);
     if (worker === undefined || worker.hasReported) continue;
+    // It has answered with an incomplete list, as another incarnation.
+    if (worker.bornMs !== 0 && worker.bornMs !== bornMs) continue;
     worker.bornMs = bornMs;
     worker.areRunsInherited = true;
     for (const [jobId, occurrence, step, index, run, workedMs] of runs) {
--- a/packages/jobs/src/stored_runs_test.ts
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -93,6 +93,40 @@
   assert.equal(next.tasks[1]?.losses.length, 1);
 });
 
+// Guards against runs of a former incarnation, and against a run that counts
+// twice, when a worker answers before the stored runs are read.
+for (const { bornMs, attempts } of [
+  { bornMs: 7, attempts: 2 },
+  { bornMs: 8, attempts: 1 },
+]) {
+  test(`stored runs: those of incarnation 7 are adopted beside an incomplete list of incarnation ${bornMs}`, () => {
+    const { board, tasks } = createBoard(1);
+    const [worker] = board.workers.values();
+    const [first, second] = tasks;
+    assert.ok(worker && first && second);
+    board.onSent(first, 1, worker, 0);
+    board.onSent(second, 1, worker, 0);
+    const [row] = createRunRows([worker], { epoch: 1, nowMs: 0 });
+    const { workers } = readRuns({ value: row?.value ?? "" }).unwrap();
+    const next = createBoard(1);
+    const [nextWorker] = next.board.workers.values();
+    assert.ok(nextWorker);
+    Object.assign(nextWorker, { hasReported: false, bornMs: 0 });
+    const task = { jobId: "a", occurrence: 0, step: 0, index: 0 };
+    const run = { task, run: 1, checkpoint: "", percent: 0, measurement: 0 };
+    const times = { sentMs: 0, nowMs: 0, wallMs: 0 };
+    next.board.onReport(
+      nextWorker,
+      { clockMs: 0, bornMs, running: [run], ended: [], hasMore: true },
+      times,
+    );
+    adoptRuns(next.board, new Map(Object.entries(workers)), 0);
+    assert.equal(nextWorker.attempts.size, attempts);
+    assert.equal(nextWorker.bornMs, bornMs);
+    assert.equal(nextWorker.areRunsKnown, bornMs === 7);
+  });
+}
+
 test("stored runs: a worker is left out while ends on it are not stored", () => {
   const { board } = createBoard(1);
   const [worker] = board.workers.values();
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -116,6 +116,8 @@
   readonly delayed = new Set<string>();
   /** Workers on which calls take effect, but whose answers are lost. */
   readonly answersLost = new Set<string>();
+  /** Most ends in one report. */
+  endsPerReport = 500;
   /** Crashes of workers that tasks caused. */
   readonly crashes: WorkerCrash[] = [];
   /** Time after which a worker that crashed is back, in ms; may be infinite. */
@@ -257,8 +259,8 @@
         percent: Math.round(this.#clock.nowMs() - record.startMs),
         measurement: 0,
       })),
-      ended: [...worker.unacknowledgedEnds],
-      hasMore: false,
+      ended: worker.unacknowledgedEnds.slice(0, this.endsPerReport),
+      hasMore: worker.unacknowledgedEnds.length >= this.endsPerReport,
     });
   }
 
