fix(leader): a lost worker delays only the tasks that may run on it

A leader that is killed as workers crash has stored nothing of their runs. The next one waited, before it started any task of an older job, for the leases of all silent workers: 3.5 s for the former leader's right, counted from the takeover, and 6.5 s for the lease.

- The former leader's right counts from when its last commit was first read, with 5% for slow clocks, no longer from the takeover.
- A worker is over at once if another instance answers calls that name it and a later-born worker is registered at its address.
- Long-running tasks are started only once their worker is stored in the job's row.
The next leader starts such a task as soon as that worker has listed its runs, was replaced or holds no lease. placementsSince in the leadership row excludes placements from before a leader of a version that stores none.

The unit cases for replaced workers, placements and the planner are new with their functions.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -164,6 +164,7 @@
       worker.bornMs = report.bornMs;
     }
     worker.silentSinceMs = undefined;
+    worker.isReplaced = false;
     worker.hasReported ||= !report.hasMore;
     const isComplete = times.nowMs >= this.#options.allJobsKnownMs;
     this.#applyDeferredEnds(worker, { ...times, isComplete });
@@ -232,6 +233,33 @@
     this.#resetReports(worker);
   }
 
+  /**
+   * Records that another instance answers at the worker's address. The worker
+   * runs nothing any more if a later one is registered there. Without such an
+   * entry, the worker may have moved to another address.
+   */
+  onOtherInstance(worker: WorkerRecord): void {
+    this.losses.onReplaced(worker);
+    if (worker.isReplaced || !this.#hasSuccessor(worker)) return;
+    worker.isReplaced = true;
+    this.onLost(worker);
+    this.losses.onReplaced(worker);
+  }
+
+  /** Whether a worker that was born later is registered at the same address. */
+  #hasSuccessor({ id, info, bornMs }: WorkerRecord): boolean {
+    const formerBornMs = Math.max(info.bornMs, bornMs);
+    for (const other of this.workers.values()) {
+      const isLater =
+        other.id !== id &&
+        other.isRegistered &&
+        other.info.address === info.address &&
+        other.info.bornMs > formerBornMs;
+      if (isLater) return true;
+    }
+    return false;
+  }
+
   /**
    * Handles a new incarnation of the worker. A start that was not confirmed
    * before the report was requested may have reached the new incarnation, or may
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -321,6 +321,45 @@
   test(`job board: ${name}`, () => act(createFixture()));
 }
 
+// Guards against a second run: without a later worker at the address, the one
+// that does not answer there may run on elsewhere.
+for (const { bornMs, isRegistered, address, attempts } of [
+  { bornMs: 2, isRegistered: true, address: "10.0.0.1:1", attempts: 0 },
+  { bornMs: 1, isRegistered: true, address: "10.0.0.1:1", attempts: 1 },
+  { bornMs: 2, isRegistered: false, address: "10.0.0.1:1", attempts: 1 },
+  { bornMs: 2, isRegistered: true, address: "10.0.0.2:1", attempts: 1 },
+]) {
+  test(`job board: another instance answers, and a worker born at ${bornMs}, registered: ${isRegistered}, is at ${address}`, () => {
+    const { board, add, start, report } = createFixture();
+    const record = add([{}]);
+    report({});
+    start(record);
+    const other = board.addWorker(createWorkerInfo("x", { address, bornMs }));
+    other.isRegistered = isRegistered;
+    const worker = workerOf(board);
+    board.onOtherInstance(worker);
+    assert.equal(taskOf(record).attempts.length, attempts);
+    assert.equal(worker.isReplaced, attempts === 0);
+    assert.equal(taskOf(record).losses.length, 1 - attempts);
+  });
+}
+
+test("job board: the stored placement of a task is restored", () => {
+  const job = createJob("a", [{ count: 3, isLongRunning: true }]);
+  const options = { revision: 1, queue: QUEUE, runFloor: 0 };
+  const record = createJobRecord(job, { ...options, state: undefined });
+  const [, task] = record.occurrences[0]?.[0]?.tasks ?? [];
+  assert.ok(task);
+  task.placement = { workerId: "w", epoch: 3 };
+  const state = JSON.parse(JSON.stringify(stateOf(record)));
+  state.steps[0].placements.push([0, "w"], null, [7, "w", 3], [2, 4, 3]);
+  const again = createJobRecord(job, { ...options, state });
+  const placements = again.occurrences[0]?.[0]?.tasks.map(
+    ({ placement }) => placement,
+  );
+  assert.deepEqual(placements, [undefined, task.placement, undefined]);
+});
+
 test("job board: stored progress is restored unchanged", () => {
   const job = createJob("a", [{ count: 3 }, { after: [0] }]);
   const options = { revision: 1, queue: QUEUE, runFloor: 0 };
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -6,6 +6,7 @@
   type JobState,
   type StepProgress,
   type StoredLoss,
+  type StoredPlacement,
 } from "./job_state";
 import type { QueueSettings } from "./queue_config";
 import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
@@ -72,6 +73,7 @@
     const done: number[] = [];
     const failures: [number, number[]][] = [];
     const losses: StoredLoss[] = [];
+    const placements = storedPlacementsOf(stepRun);
     for (const task of stepRun.tasks) {
       losses.push(...storedLossesOf(task));
       if (task.isDone) done.push(task.index);
@@ -79,9 +81,15 @@
         failures.push([task.index, [...task.failedRuns]]);
       }
     }
-    if (done.length + failures.length + losses.length === 0) continue;
+    const isEmpty = [done, failures, losses, placements].every(
+      ({ length }) => length === 0,
+    );
+    if (isEmpty) continue;
     const { occurrence, number: step } = stepRun;
-    const optional = losses.length > 0 ? { losses } : {};
+    const optional = {
+      ...(losses.length > 0 ? { losses } : {}),
+      ...(placements.length > 0 ? { placements } : {}),
+    };
     steps.push({ occurrence, step, done, failures, ...optional });
   }
   const { phase, sinceMs, job } = record;
@@ -116,6 +124,7 @@
     checkpoint: "",
     attempts: [],
     reservedOn: undefined,
+    placement: undefined,
     notBeforeMs: Number.NEGATIVE_INFINITY,
   };
 }
@@ -133,10 +142,31 @@
   for (const [index, runs] of progress.failures) {
     for (const run of runs) stepRun.tasks[index]?.failedRuns.add(run);
   }
+  applyPlacements(stepRun, progress.placements);
   if (!Array.isArray(progress.losses)) return;
   for (const loss of progress.losses) applyLoss(stepRun, loss);
 }
 
+function storedPlacementsOf({ tasks }: StepRun): StoredPlacement[] {
+  return tasks.flatMap(({ index, placement }) =>
+    placement === undefined
+      ? []
+      : [[index, placement.workerId, placement.epoch] as const],
+  );
+}
+
+/** Restores placements; those that cannot be read are left out. */
+function applyPlacements(stepRun: StepRun, stored: unknown): void {
+  if (!Array.isArray(stored)) return;
+  for (const entry of stored) {
+    if (!Array.isArray(entry)) continue;
+    const [index, workerId, epoch] = entry;
+    const task = stepRun.tasks[index];
+    const isReadable = typeof workerId === "string" && Number.isInteger(epoch);
+    if (task !== undefined && isReadable) task.placement = { workerId, epoch };
+  }
+}
+
 function storedLossesOf({ index, losses }: Task): StoredLoss[] {
   return losses.map(({ workerId, ...loss }) => ({
     index,
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -99,6 +99,7 @@
       value === undefined || isRecordOf(isWorkerRuns)(value),
     formerRightMs: (value) => value === undefined || isNumber(value),
     leaseMs: (value) => value === undefined || isNumber(value),
+    placementsSince: (value) => value === undefined || isNumber(value),
     pending: isRecordOf(isNumber),
     pendingAgeMs: (value) => value === undefined || isNumber(value),
   });
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -24,6 +24,14 @@
   readonly isLate: boolean;
 }
 
+/** Where a long-running task was last ordered to start, as stored. */
+export type StoredPlacement = readonly [
+  index: number,
+  worker: string,
+  /** Epoch of the leader that ordered it. */
+  epoch: number,
+];
+
 /** Stored progress of one step of one occurrence. */
 export interface StepProgress {
   readonly occurrence: number;
@@ -40,6 +48,8 @@
   ])[];
   /** Missing if there is none, and in rows of versions that keep none. */
   readonly losses?: readonly StoredLoss[];
+  /** Last placements of long-running tasks; missing if there is none. */
+  readonly placements?: readonly StoredPlacement[];
 }
 
 /** A job's progress as stored in the table. */
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -51,6 +51,11 @@
    * in rows of versions that do not keep it.
    */
   readonly formerRightMs?: number;
+  /**
+   * Lowest epoch since which all leaders store the placement of a long-running
+   * task before they order its start; absent in rows of versions that don't.
+   */
+  readonly placementsSince?: number;
   /** The holder has stopped sending orders to workers. */
   readonly isReleased: boolean;
   /**
--- a/packages/jobs/src/start_delay.ts
+++ b/packages/jobs/src/start_delay.ts
@@ -77,7 +77,10 @@
       ? { task, reason: DelayReason.Stopping, worker }
       : undefined;
   }
-  const reason = !options.areRunsKnown(task.stepRun.record)
+  const areRunsKnown =
+    options.areRunsKnown(task.stepRun.record) ||
+    options.areTaskRunsKnown?.(task) === true;
+  const reason = !areRunsKnown
     ? DelayReason.RunsUnknown
     : isWaiting(task, options.nowMs)
       ? placing
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -39,6 +39,11 @@
   readonly isUsable: (worker: WorkerRecord) => boolean;
   /** Whether the board knows all runs of the job. */
   readonly areRunsKnown: (record: JobRecord) => boolean;
+  /**
+   * Whether the board knows all runs of the task, also where it doesn't know
+   * those of its job.
+   */
+  readonly areTaskRunsKnown?: (task: Task) => boolean;
 }
 
 /** Input of a planning round besides the board. */
@@ -58,17 +63,37 @@
   const pools = groupUsableByPool(board, options);
   const placementFailures = new PlacementFailures();
   for (const record of rankJobs(board, options)) {
-    if (!options.areRunsKnown(record)) continue;
+    const areRunsKnown = options.areRunsKnown(record);
+    if (!areRunsKnown && !hasKnownTask(record, options)) continue;
     const pool = pools.get(record.queue?.pool ?? "");
     if (pool === undefined) continue;
     for (const stepRun of listReadySteps(record, options.wallMs)) {
       if (starts.length >= options.limit) return starts;
-      planStep(board, { stepRun, pool, starts, placementFailures, options });
+      planStep(board, {
+        stepRun,
+        pool,
+        starts,
+        placementFailures,
+        areRunsKnown,
+        options,
+      });
     }
   }
   return starts;
 }
 
+/** Whether the runs of a task are known in a job whose runs are not. */
+function hasKnownTask(
+  { occurrences }: JobRecord,
+  { areTaskRunsKnown = () => false }: PlanningState,
+): boolean {
+  return occurrences.some((steps) =>
+    steps.some(
+      ({ step, tasks }) => step.isLongRunning && tasks.some(areTaskRunsKnown),
+    ),
+  );
+}
+
 /** Lists the unfinished steps of a job that may start now. */
 export function listReadySteps(record: JobRecord, wallMs: number): StepRun[] {
   const ready: StepRun[] = [];
@@ -107,13 +132,18 @@
   readonly pool: UsablePool;
   readonly starts: Attempt[];
   readonly placementFailures: PlacementFailures;
+  /** Whether the board knows all runs of the job. */
+  readonly areRunsKnown: boolean;
   readonly options: PlanOptions;
 }
 
 function planStep(board: JobBoard, plan: StepPlan): void {
-  const { stepRun, options } = plan;
-  const waiting = stepRun.tasks.filter((task) =>
-    isWaiting(task, options.nowMs),
+  const { stepRun, areRunsKnown, options } = plan;
+  const { areTaskRunsKnown = () => false } = options;
+  const waiting = stepRun.tasks.filter(
+    (task) =>
+      isWaiting(task, options.nowMs) &&
+      (areRunsKnown || areTaskRunsKnown(task)),
   );
   if (waiting.length === 0) return;
   if (hasAttempts(stepRun.record)) stepRun.idleSinceMs = undefined;
--- a/packages/jobs/src/start_planner_test.ts
+++ b/packages/jobs/src/start_planner_test.ts
@@ -493,6 +493,31 @@
   ]);
 });
 
+// Guards against a task that waits for workers on which it cannot run, and
+// against a second run of those that may be on them.
+test("start planner: of a job whose runs are not known, only tasks whose runs are known start", () => {
+  const board = createBoard({
+    name: "",
+    workers: [["w"]],
+    jobs: [
+      { id: "a", steps: [{ isLongRunning: true, count: 3 }] },
+      { id: "b", steps: [{}] },
+    ],
+    starts: [],
+  });
+  const starts = planStarts(board, {
+    nowMs: 0,
+    wallMs: 0,
+    limit: 100,
+    model: new InterferenceModel(),
+    isUsable: () => true,
+    areRunsKnown: () => false,
+    areTaskRunsKnown: ({ index, stepRun }) =>
+      stepRun.step.isLongRunning && index === 1,
+  });
+  assert.deepEqual(starts.map(describe), ["a.0.0.1 w"]);
+});
+
 // Guards against run numbers that the next leader does not reach, so that workers
 // refuse its runs as old.
 test("start planner: a gang that waits for room keeps its run number and checkpoints", () => {
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -54,6 +54,13 @@
   stoppedMs: number | undefined;
 }
 
+/** Where a long-running task was last ordered to start. */
+export interface Placement {
+  readonly workerId: string;
+  /** Epoch of the leader that ordered it. */
+  readonly epoch: number;
+}
+
 /** State of a task, kept by the leading scheduler. */
 export interface Task {
   readonly stepRun: StepRun;
@@ -75,6 +82,11 @@
   readonly attempts: Attempt[];
   /** Worker on which room is reserved for its next run; undefined if none is. */
   reservedOn: WorkerRecord | undefined;
+  /**
+   * Its last placement, which is stored before the start is ordered: a run of it
+   * can only be active there. Undefined if that is not known.
+   */
+  placement: Placement | undefined;
   /** Monotonic ms before which it must not start again. */
   notBeforeMs: number;
 }
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -30,6 +30,11 @@
   leavesAtMs = Number.NEGATIVE_INFINITY;
   /** Whether a former leader's rows tell which runs may be active on it. */
   areRunsInherited = false;
+  /**
+   * Whether another worker has taken its place at its address, so that it runs
+   * nothing any more.
+   */
+  isReplaced = false;
   /** Monotonic ms at which its last answered renewal was sent. */
   lastReportMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms after which all granted leases have expired. */
@@ -73,7 +78,7 @@
 
   /** Whether this leader knows all runs that may be active on it. */
   get areRunsKnown(): boolean {
-    return this.hasReported || this.areRunsInherited;
+    return this.hasReported || this.areRunsInherited || this.isReplaced;
   }
 
   /**
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -39,6 +39,9 @@
 /** The timeout grows by this multiple of the table's last read latency. */
 const TABLE_LATENCY_FACTOR = 3;
 
+/** Margin for clocks of leaders, which may differ in speed by 5%. */
+const CLOCK_FACTOR = 1.05;
+
 /**
  * Counts of waiting jobs that may lack jobs stored longer ago are not given.
  * Callers expect counts of at most 2 s before.
@@ -221,13 +224,16 @@
     const former = this.#revision === 0 ? undefined : this.#view?.row;
     const formerLeaseMs =
       former === undefined ? 0 : (former.leaseMs ?? leaseMs);
-    const formerRightMs = this.#formerRightMs(former);
+    const sentMs = clock.nowMs();
+    const formerRightMs = this.#formerRightMs(former, sentMs);
+    const epoch = (former?.epoch ?? 0) + 1;
     const row: LeadershipRow = {
       holder: member,
       instance,
       capacity,
       successor: "",
-      epoch: (former?.epoch ?? 0) + 1,
+      epoch,
+      placementsSince: former?.placementsSince ?? epoch,
       sequence: (former?.sequence ?? 0) + 1,
       isReleased: false,
       formerRightMs,
@@ -237,7 +243,6 @@
       pending: former?.pending ?? {},
       pendingAgeMs: Math.round(this.#pendingAgeMs()),
     };
-    const sentMs = clock.nowMs();
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#revision }],
       writes: [leadershipWrite(row)],
@@ -262,8 +267,18 @@
     };
   }
 
-  /** Time in ms for which leaders so far may still send orders. */
-  #formerRightMs(former: LeadershipRow | undefined): number {
+  /**
+   * Time in ms for which leaders so far may still send orders. Their rights
+   * count from their commits, which preceded the first read of the last one.
+   */
+  #formerRightMs(former: LeadershipRow | undefined, nowMs: number): number {
+    const rightMs = this.#rightAtCommitMs(former);
+    const unchangedMs = nowMs - this.#changedMs;
+    return Math.max(0, Math.ceil(rightMs * CLOCK_FACTOR - unchangedMs));
+  }
+
+  /** Time in ms for which leaders could send orders at the last commit. */
+  #rightAtCommitMs(former: LeadershipRow | undefined): number {
     if (former === undefined) return 0;
     const hasStopped = former.isReleased || this.#isOwnFormerInstance();
     // A leader that has stopped may have taken over from one that has not.
--- a/packages/leader/src/suspect_starts.ts
+++ b/packages/leader/src/suspect_starts.ts
@@ -22,6 +22,8 @@
   readonly board: JobBoard;
   /** Whether the last change of a job is stored. */
   readonly isStored: (record: JobRecord) => boolean;
+  /** Stores the state of a job. */
+  readonly store: (record: JobRecord) => void;
   /** Sends the start of an attempt. */
   readonly sendStart: (attempt: Attempt) => void;
 }
@@ -35,8 +37,9 @@
 const MAX_STORE_WAIT_MS = 1000;
 
 /**
- * Sends starts of tasks that may crash their workers, once it is stored that
- * they are started: the next leader must know of a run that may leave no trace.
+ * Sends starts once it is stored that the tasks are started: the next leader must
+ * know of a run that may crash its worker and leave no trace, and on which worker
+ * a long-running task may run.
  */
 export class SuspectStarts {
   readonly #options: SuspectStartsOptions;
@@ -45,10 +48,24 @@
     this.#options = options;
   }
 
-  /** Stores the start as a possible loss, then sends it. */
+  /** Stores the start, as a possible loss if the task had any, then sends it. */
   async send(attempt: Attempt): Promise<void> {
-    const { clock, board, journal, metrics, isStored, sendStart } =
-      this.#options;
+    const { clock, board, store, isStored, sendStart } = this.#options;
+    const { task } = attempt;
+    if (task.losses.length > 0) this.#recordPossibleLoss(attempt);
+    const { record } = task.stepRun;
+    store(record);
+    const untilMs = clock.nowMs() + MAX_STORE_WAIT_MS;
+    while (!isStored(record) && clock.nowMs() < untilMs) {
+      await clock.sleep(STORE_POLL_INTERVAL_MS);
+    }
+    if (attempt.phase !== AttemptPhase.Starting) return;
+    if (isStored(record)) sendStart(attempt);
+    else board.onRefused(attempt, clock.nowMs());
+  }
+
+  #recordPossibleLoss(attempt: Attempt): void {
+    const { board, journal, metrics } = this.#options;
     const { task, worker, run } = attempt;
     journal.info("A task under which workers were lost is started.", {
       ...describe(task),
@@ -59,14 +76,6 @@
     });
     metrics.count("suspect_starts");
     board.losses.recordAttempt(attempt, LossEvidence.Open);
-    const { record } = task.stepRun;
-    const untilMs = clock.nowMs() + MAX_STORE_WAIT_MS;
-    while (!isStored(record) && clock.nowMs() < untilMs) {
-      await clock.sleep(STORE_POLL_INTERVAL_MS);
-    }
-    if (attempt.phase !== AttemptPhase.Starting) return;
-    if (isStored(record)) sendStart(attempt);
-    else board.onRefused(attempt, clock.nowMs());
   }
 
   /** Gives up jobs with a task under which workers keep crashing. */
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -10,7 +10,7 @@
   type PlanningState,
   planStarts,
 } from "@laburnumtrack/jobs/start_planner";
-import type { Attempt } from "@laburnumtrack/jobs/task";
+import type { Attempt, Placement, Task } from "@laburnumtrack/jobs/task";
 import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
@@ -189,6 +189,7 @@
       ...options,
       board: this.#board,
       isStored: ({ job }) => this.#progress.isStored(job.id),
+      store: (record) => this.#progress.markDirty(record),
       sendStart: (attempt) => this.#workers.sendStart(attempt),
     });
   }
@@ -432,8 +433,15 @@
     if (starts.length === 0) return;
     this.#logStarts(starts);
     for (const attempt of starts) {
-      if (attempt.task.losses.length === 0) this.#workers.sendStart(attempt);
-      else this.#background.add(this.#suspectStarts.send(attempt));
+      const { task, worker } = attempt;
+      const isPlaced = keepsPlacement(task);
+      if (isPlaced) {
+        const { epoch } = this.#start.held.row;
+        task.placement = { workerId: worker.id, epoch };
+      }
+      if (isPlaced || task.losses.length > 0) {
+        this.#background.add(this.#suspectStarts.send(attempt));
+      } else this.#workers.sendStart(attempt);
     }
   }
 
@@ -467,9 +475,25 @@
       isUsable: (worker) => this.#isUsable(worker, nowMs),
       areRunsKnown: ({ revision }) =>
         this.#isSettled || revision > this.#findNewJobsAbove(nowMs),
+      areTaskRunsKnown: (task) => this.#areRunsKnownAt(task.placement, nowMs),
     };
   }
 
+  /**
+   * Whether all runs of a task with the given placement are known: leaders have
+   * started it nowhere else since, and what its worker runs is known.
+   */
+  #areRunsKnownAt(placement: Placement | undefined, nowMs: number): boolean {
+    const { placementsSince = Number.POSITIVE_INFINITY } = this.#start.held.row;
+    if (placement === undefined || placement.epoch < placementsSince) {
+      return false;
+    }
+    const worker = this.#board.workers.get(placement.workerId);
+    // Workers that are neither registered nor on the roster hold no lease.
+    if (worker === undefined) return nowMs >= this.#workers.unlistedExpiryMs;
+    return worker.areRunsKnown || nowMs >= worker.leaseExpiryMs;
+  }
+
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
     return (
       worker.isRegistered &&
@@ -578,6 +602,14 @@
   }
 }
 
+/**
+ * Whether the placement of a task is stored before it starts. The tasks of a gang
+ * start at the same time, and copies of a task have several placements.
+ */
+function keepsPlacement({ stepRun: { step } }: Task): boolean {
+  return step.isLongRunning && !step.isGang && !step.isSpeculative;
+}
+
 /** Task, run and worker of an attempt, for the log. */
 function describeAttempt({ task, run, worker }: Attempt): string {
   const { occurrence, number } = task.stepRun;
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -306,7 +306,7 @@
       );
       board.onSilent(worker, clock.nowMs());
     }
-    if (fault.code === FaultCode.OtherInstance) board.losses.onReplaced(worker);
+    if (fault.code === FaultCode.OtherInstance) this.#onOtherInstance();
     if (!worker.mayHaveRuns || clock.nowMs() < worker.leaseExpiryMs) return;
     journal.warn(
       "The lease of an unresponsive worker expired; its tasks are started again.",
@@ -319,6 +319,20 @@
     onBoardChanged();
   }
 
+  #onOtherInstance(): void {
+    const { board, journal, onBoardChanged } = this.#options;
+    const { worker } = this;
+    const { isReplaced, attempts } = worker;
+    const attemptCount = attempts.size;
+    board.onOtherInstance(worker);
+    if (isReplaced || !worker.isReplaced) return;
+    journal.warn(
+      "Another worker has taken the place of an unresponsive one; its tasks are started again.",
+      { worker: worker.id, attempts: attemptCount },
+    );
+    onBoardChanged();
+  }
+
   #onOrderFault(fault: Fault): void {
     if (fault.code === FaultCode.Fenced) this.#options.onFenced(this.worker.id);
   }
