--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -164,6 +164,7 @@
       worker.bornMs = report.bornMs;
     }
     worker.silentSinceMs = undefined;
+    worker.isReplaced = false;
     worker.hasReported ||= !report.hasMore;
     const isComplete = times.nowMs >= this.#options.allJobsKnownMs;
     this.#applyDeferredEnds(worker, { ...times, isComplete });
@@ -175,7 +176,10 @@
       if (isKnown) this.#onEnded(worker, ended, times);
       else if (!isComplete) worker.deferredEnds.push(ended);
     }
-    worker.unknownRuns = [];
+    // Runs of unknown jobs may have ended among the ends that follow.
+    worker.unknownRuns = report.hasMore
+      ? worker.unknownRuns.filter((run) => !isReported(run, report))
+      : [];
     const listed = new Set<Attempt>();
     for (const running of report.running) {
       const attempt = this.#onRunning(worker, running, times);
@@ -183,8 +187,10 @@
     }
     for (const attempt of [...worker.attempts]) {
       if (listed.has(attempt)) attempt.isInherited = false;
+      // Its end may be among those that follow, so nothing is known of it.
+      else if (report.hasMore) attempt.progressMs = times.nowMs;
       // The worker answers this leader, so it refuses a start of a former one.
-      else if (attempt.isInherited && !report.hasMore) this.#detach(attempt);
+      else if (attempt.isInherited) this.#detach(attempt);
       else this.#onMissing(attempt, times.sentMs);
     }
     this.losses.onReport(worker);
@@ -208,6 +214,10 @@
     const task = record && findTask(record, name);
     if (record === undefined || task === undefined) return;
     if (isFinal(record.phase) || task.isDone) return;
+    const isListed = task.attempts.some(
+      (one) => one.worker === worker && one.run === run,
+    );
+    if (isListed) return;
     const attempt = this.#attach(task, run, worker, nowMs);
     attempt.confirmedMs = nowMs;
     attempt.isInherited = true;
@@ -223,6 +233,33 @@
     this.#resetReports(worker);
   }
 
+  /**
+   * Records that another instance answers at the worker's address. The worker
+   * runs nothing any more if a later one is registered there. Without such an
+   * entry, the worker may have moved to another address.
+   */
+  onOtherInstance(worker: WorkerRecord): void {
+    this.losses.onReplaced(worker);
+    if (worker.isReplaced || !this.#hasSuccessor(worker)) return;
+    worker.isReplaced = true;
+    this.onLost(worker);
+    this.losses.onReplaced(worker);
+  }
+
+  /** Whether a worker that was born later is registered at the same address. */
+  #hasSuccessor({ id, info, bornMs }: WorkerRecord): boolean {
+    const formerBornMs = Math.max(info.bornMs, bornMs);
+    for (const other of this.workers.values()) {
+      const isLater =
+        other.id !== id &&
+        other.isRegistered &&
+        other.info.address === info.address &&
+        other.info.bornMs > formerBornMs;
+      if (isLater) return true;
+    }
+    return false;
+  }
+
   /**
    * Handles a new incarnation of the worker. A start that was not confirmed
    * before the report was requested may have reached the new incarnation, or may
@@ -517,3 +554,22 @@
     attempt.worker.remove(attempt);
   }
 }
+
+/** Whether a report lists the run as running or ended. */
+function isReported(
+  { task, run }: RunningRun,
+  { running, ended }: WorkerReport,
+): boolean {
+  return [...running, ...ended].some(
+    (other) => other.run === run && isSameTask(other.task, task),
+  );
+}
+
+function isSameTask(a: TaskName, b: TaskName): boolean {
+  return (
+    a.jobId === b.jobId &&
+    a.occurrence === b.occurrence &&
+    a.step === b.step &&
+    a.index === b.index
+  );
+}
