feat(leader): start no task in a failure domain that is evacuated

Operators can request the evacuation of a failure domain by a row op/evacuate/ZONE; so far every entry ignored it. Each entry now follows these rows with the reader of the configuration (DomainEvacuations). The leader plans no start in such a domain, looks again before each order, also repeated ones, and stops starts that are not confirmed as soon as it learns of the request; a gang is stopped as a whole.

An order without an answer may be carried out seconds later. With evacuations enabled, the latest start that an order names is therefore the last confirmation of the requests plus evacuate_ms, less 300 ms for clocks: a request that is not known here was stored after that confirmation. While nothing is confirmed for long, an order still has 1,000 ms.

The setting evacuate_ms is 0 (requests are ignored) where the deployment names no time; then orders are the same as before.

--- a/packages/config/src/queue_config_watcher.ts
+++ b/packages/config/src/queue_config_watcher.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@laburnumtrack/core/clock";
-import type { ChangedRow } from "@laburnumtrack/core/feed_table";
+import type { ChangedRow, Snapshot } from "@laburnumtrack/core/feed_table";
 import { SuspensionDetector } from "@laburnumtrack/core/suspension_detector";
+import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { QueueSource } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -14,6 +15,8 @@
   extends Omit<RowFollowerOptions, "prefix" | "listener"> {
   /** Where the configuration is stored, and how it is decoded. */
   readonly source: QueueSource;
+  /** Receives the requested evacuations; undefined if they are ignored. */
+  readonly evacuations?: DomainEvacuations | undefined;
 }
 
 /** A configuration that another process has in use. */
@@ -39,6 +42,8 @@
   readonly #clock: Clock;
   readonly #journal: Journal;
   readonly #follower: RowFollower;
+  /** Undefined if evacuations are ignored. */
+  readonly evacuations: DomainEvacuations | undefined;
   readonly #suspensions: SuspensionDetector;
   /** Monotonic ms at which the VM was last resumed. */
   #resumedMs = Number.NEGATIVE_INFINITY;
@@ -46,8 +51,9 @@
   #text = "";
   #sharedConfirmedMs = Number.NEGATIVE_INFINITY;
 
-  constructor({ source, ...options }: QueueConfigWatcherOptions) {
+  constructor({ source, evacuations, ...options }: QueueConfigWatcherOptions) {
     this.#source = source;
+    this.evacuations = evacuations;
     this.#clock = options.clock;
     this.#journal = options.journal;
     this.#suspensions = new SuspensionDetector(options.clock);
@@ -55,8 +61,12 @@
       ...options,
       prefix: source.prefix,
       preferSnapshots: true,
-      listener: { onRow: (row) => this.#onRow(row) },
+      listener: {
+        onSnapshot: (snapshot) => this.#onSnapshot(snapshot),
+        onRow: (row) => this.#onRow(row),
+      },
     });
+    evacuations?.follow(this.#follower);
   }
 
   /**
@@ -105,7 +115,22 @@
     this.#sharedConfirmedMs = Math.max(this.#sharedConfirmedMs, confirmedMs);
   }
 
+  #onSnapshot({ rows, revision }: Snapshot): void {
+    const requests = rows.flatMap((row) => {
+      const domain = this.#source.evacuatedDomainOf(row.key);
+      return domain === undefined ? [] : [{ domain, revision: row.revision }];
+    });
+    this.evacuations?.onSnapshot(requests, revision);
+  }
+
   #onRow({ key, value, revision }: ChangedRow): void {
+    const domain = this.#source.evacuatedDomainOf(key);
+    if (domain !== undefined) {
+      // Any value counts as a request.
+      const isRequested = value !== undefined;
+      this.evacuations?.onChange({ domain, revision }, isRequested);
+      return;
+    }
     if (key !== this.#source.key || value === undefined) return;
     this.#use(value, { source: "table", revision });
   }
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -1,12 +1,17 @@
-import type { Fault } from "@laburnumtrack/core/fault";
+import { QueueConfigWatcher } from "@laburnumtrack/config/queue_config_watcher";
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { JobService } from "@laburnumtrack/desk/job_service";
+import { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
 import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { encodeOpenJobRow, jobKey } from "@laburnumtrack/jobs/job_rows";
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { type QueueConfig, settingsOf } from "@laburnumtrack/jobs/queue_config";
 import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
 import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
-import { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
+import {
+  QueueSource,
+  WorkerRegistry,
+} from "@laburnumtrack/jobs/worker_registry";
 import { LeaderElection } from "@laburnumtrack/leader/leader_election";
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
@@ -16,7 +21,7 @@
   ProcessClock,
   VirtualClock,
 } from "@laburnumtrack/standins/virtual_clock";
-import { Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results";
 import { findRunViolations } from "./run_violations";
 
 /** An entry process, which can become the leader, in virtual time. */
@@ -24,6 +29,8 @@
   readonly name: string;
   readonly clock: ProcessClock;
   readonly leadership: LeaderElection;
+  /** The evacuations that it knows; undefined where they are ignored. */
+  readonly evacuations: DomainEvacuations | undefined;
   /** Stops the process gracefully; resolves when leadership is handed over. */
   readonly stop: () => Promise<void>;
 }
@@ -42,6 +49,8 @@
   readonly workerIds?: readonly string[];
   /** Decodes the entries of workers; by default, each key names a worker. */
   readonly registry?: WorkerRegistry;
+  /** Time limit of evacuations in ms; requests are ignored by default. */
+  readonly evacuateMs?: number;
 }
 
 const QUEUE = {
@@ -85,6 +94,7 @@
   readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
+  readonly #evacuateMs: number;
   #processCount = 0;
 
   constructor({
@@ -95,6 +105,7 @@
     rightMs = DEFAULT_RIGHT_MS,
     workerIds = [],
     registry = new RegistryStandin(),
+    evacuateMs = 0,
   }: EntryWorldOptions) {
     const ids = Array.from(
       { length: workers },
@@ -104,6 +115,7 @@
     this.#capacities = capacities;
     this.#leaseMs = leaseMs;
     this.#rightMs = rightMs;
+    this.#evacuateMs = evacuateMs;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -130,11 +142,15 @@
     spec: string,
     steps: Partial<Step>[],
   ): Promise<void> {
+    this.submitNow(id, spec, steps);
+    await this.advance(SUBMIT_TIMEOUT_MS / 10);
+  }
+
+  /** Submits a job without advancing time. */
+  submitNow(id: string, spec: string, steps: Partial<Step>[]): void {
     const job = this.#createJob(id, spec, steps);
     this.#jobIds.push(id);
-    const done = this.#desk.submit(job, this.clock.nowMs() + SUBMIT_TIMEOUT_MS);
-    await this.advance(SUBMIT_TIMEOUT_MS / 10);
-    void done;
+    void this.#desk.submit(job, this.clock.nowMs() + SUBMIT_TIMEOUT_MS);
   }
 
   /** Stores jobs of one task each in one commit, as if submitted at once. */
@@ -201,6 +217,16 @@
     await this.writeRow(`${this.#registry.prefix}${id}`, value);
   }
 
+  /** Requests the evacuation of a failure domain. */
+  async evacuate(domain: string): Promise<void> {
+    await this.writeRow(`${EVACUATION_PREFIX}${domain}`, "{}");
+  }
+
+  /** Lifts the evacuation of a failure domain. */
+  async liftEvacuation(domain: string): Promise<void> {
+    await this.writeRow(`${EVACUATION_PREFIX}${domain}`, null);
+  }
+
   /** Writes a row of the table, or deletes it if the value is null. */
   async writeRow(key: string, value: string | null): Promise<void> {
     const done = this.#commitRow(key, value);
@@ -269,14 +295,27 @@
     this.#processCount += 1;
     const clock = new ProcessClock(this.clock);
     const journal = createJournal("test", "fatal");
+    const table = this.table.viewOf(name);
+    const evacuations =
+      this.#evacuateMs === 0
+        ? undefined
+        : new DomainEvacuations({ clock, journal, limitMs: this.#evacuateMs });
+    const watcher = new QueueConfigWatcher({
+      clock,
+      table,
+      journal,
+      source: new QueueSourceStandin(),
+      evacuations,
+    });
     const leadership = new LeaderElection({
       clock,
-      table: this.table.viewOf(name),
+      table,
       registry: this.#registry,
       port: this.fleet.viewOf(name),
       journal,
       metrics: new Metrics(),
       config: () => this.config,
+      evacuations,
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
@@ -289,11 +328,13 @@
       isEligible: () => true,
     });
     const abort = new AbortController();
+    if (evacuations !== undefined) void watcher.run(abort.signal);
     const running = leadership.run(abort.signal);
     this.entries.splice(index, 0, {
       name,
       clock,
       leadership,
+      evacuations,
       stop: async () => {
         abort.abort();
         await running;
@@ -305,19 +346,41 @@
 /** Value of the row of a worker that drains. */
 const DRAINING = "draining";
 
+/** Prefix of the rows that request evacuations. */
+const EVACUATION_PREFIX = "op/evacuate/";
+
 /** The machine of a worker, which keeps its address. */
 function machineOf(id: string): string {
   return id.split(INCARNATION_MARK)[0] ?? id;
 }
 
+/** Rows of the operators; the queues are given to the entries otherwise. */
+class QueueSourceStandin extends QueueSource {
+  override readonly prefix = "op/";
+  override readonly key = "op/config";
+
+  override decode(value: string): Result<QueueConfig, Fault> {
+    return Err(new Fault(FaultCode.Malformed, value));
+  }
+
+  override evacuatedDomainOf(key: string): string | undefined {
+    if (!key.startsWith(EVACUATION_PREFIX)) return undefined;
+    return key.slice(EVACUATION_PREFIX.length);
+  }
+}
+
 /** Registry of identical workers in one pool. */
 class RegistryStandin extends WorkerRegistry {
   override readonly prefix = "workers/";
 
+  /** The part of the id before the first dash, if any, is the failure domain. */
   override decode(id: string, value: string): Result<RegisteredWorker, Fault> {
+    const failureDomain = id.includes("-") ? id.split("-")[0] : "d";
     const bornMs = Number.parseInt(value, 10) || 0;
     const address = `${machineOf(id)}:1`;
     const isDraining = value === DRAINING;
-    return Ok(createWorkerInfo(id, { address, bornMs, isDraining }));
+    return Ok(
+      createWorkerInfo(id, { address, bornMs, isDraining, failureDomain }),
+    );
   }
 }
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -319,6 +319,15 @@
       defaultText: "3500",
       help: "How long a leader orders without a word from the table; at most as long as a lease.",
     },
+    {
+      key: "evacuate_ms",
+      kind: FieldKind.Integer,
+      unit: "ms",
+      min: 0,
+      max: 600_000,
+      defaultText: "0",
+      help: "Time within which no task starts any more in an evacuated failure domain; 0: requests are ignored.",
+    },
     {
       key: "restore_ms",
       kind: FieldKind.Integer,
--- a/packages/jobs/src/worker_registry.ts
+++ b/packages/jobs/src/worker_registry.ts
@@ -19,4 +19,11 @@
   abstract readonly key: string;
   /** Decodes the row. Fault: `Malformed` if it is not a configuration. */
   abstract decode(value: string): Result<QueueConfig, Fault>;
+  /**
+   * Failure domain whose evacuation the row requests; undefined for other rows.
+   * By default no row does.
+   */
+  evacuatedDomainOf(_key: string): string | undefined {
+    return undefined;
+  }
 }
--- /dev/null
+++ b/packages/leader/src/evacuation_guard.ts
@@ -0,0 +1,110 @@
+import type { Clock } from "@laburnumtrack/core/clock";
+import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
+import type { JobBoard } from "@laburnumtrack/jobs/job_board";
+import { type Attempt, AttemptPhase } from "@laburnumtrack/jobs/task";
+import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import type { Journal } from "@laburnumtrack/process/journal";
+import type { Metrics } from "@laburnumtrack/process/metrics";
+
+/** Options of an evacuation guard. */
+export interface EvacuationGuardOptions {
+  readonly clock: Clock;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  readonly board: JobBoard;
+  /** Undefined if requests for evacuations are ignored. */
+  readonly evacuations?: DomainEvacuations | undefined;
+}
+
+/**
+ * Part of the time limit of an evacuation that is left for errors of the
+ * estimates of workers' clocks, in ms.
+ */
+const CLOCK_MARGIN_MS = 300;
+/**
+ * Shortest time that a start order has to reach its worker, in ms, however old
+ * the known evacuations are: work must not wait for a table that is slow.
+ */
+const MIN_START_WINDOW_MS = 1000;
+
+/** Keeps tasks from starting in failure domains that are evacuated. */
+export class EvacuationGuard {
+  readonly #options: EvacuationGuardOptions;
+  #isOutdated = false;
+
+  constructor(options: EvacuationGuardOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the evacuations that are known allow a start on the worker. */
+  mayStartOn(worker: WorkerRecord): boolean {
+    const { evacuations } = this.#options;
+    return !evacuations?.isEvacuated(worker.info.failureDomain);
+  }
+
+  /**
+   * Time in ms within which a start order that is sent now must take effect. A
+   * request that is not known here was stored after the last confirmation, so a
+   * start within the limit of that one is in time for it.
+   */
+  get startWindowMs(): number {
+    const { evacuations } = this.#options;
+    if (evacuations === undefined) return Number.POSITIVE_INFINITY;
+    const { limitMs, ageMs } = evacuations;
+    return Math.max(MIN_START_WINDOW_MS, limitMs - ageMs - CLOCK_MARGIN_MS);
+  }
+
+  /** Stops starts in evacuated domains that are not confirmed. */
+  stopOpenStarts(): void {
+    const { board, evacuations, metrics, journal } = this.#options;
+    if (evacuations === undefined || evacuations.list().length === 0) return;
+    const stopped: Attempt[] = [];
+    for (const worker of board.workers.values()) {
+      if (this.mayStartOn(worker)) continue;
+      for (const attempt of worker.attempts) {
+        if (attempt.phase !== AttemptPhase.Starting) continue;
+        stopped.push(...listTogether(attempt));
+      }
+    }
+    if (stopped.length === 0) return;
+    for (const attempt of new Set(stopped)) {
+      board.stop(attempt, "its failure domain is evacuated");
+    }
+    metrics.count("evacuation_stopped_starts", stopped.length);
+    journal.info("Starts in evacuated failure domains are stopped.", {
+      starts: stopped.length,
+    });
+  }
+
+  /** Logs when requests cannot be confirmed within the time limit. */
+  checkAge(): void {
+    const { evacuations, journal } = this.#options;
+    if (evacuations === undefined) return;
+    const { ageMs, limitMs } = evacuations;
+    const isOutdated = ageMs > limitMs;
+    if (isOutdated === this.#isOutdated) return;
+    this.#isOutdated = isOutdated;
+    const fields = {
+      ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      limitMs,
+    };
+    if (isOutdated) {
+      journal.warn(
+        "Requests for evacuations could not be read within their time limit; those that are known stay in force.",
+        fields,
+      );
+    } else journal.info("Requests for evacuations are read again.", fields);
+  }
+}
+
+/** The attempt, or all of its gang: without it, the others would wait in vain. */
+function listTogether(attempt: Attempt): Attempt[] {
+  const { stepRun } = attempt.task;
+  if (!stepRun.step.isGang) return [attempt];
+  return stepRun.tasks
+    .flatMap(({ attempts }) => attempts)
+    .filter(
+      ({ run, phase }) =>
+        run === attempt.run && phase !== AttemptPhase.Stopping,
+    );
+}
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { FeedTable } from "@laburnumtrack/core/feed_table";
 import { Signal } from "@laburnumtrack/core/signal";
+import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
 import { planEvacuation } from "@laburnumtrack/jobs/evacuation";
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
@@ -17,6 +18,7 @@
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { BackgroundTasks } from "./background_tasks";
+import { EvacuationGuard } from "./evacuation_guard";
 import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
@@ -39,6 +41,8 @@
   readonly metrics: Metrics;
   /** The queue configuration that this process uses. */
   readonly config: () => QueueConfig;
+  /** Evacuated failure domains; undefined if requests are ignored. */
+  readonly evacuations?: DomainEvacuations | undefined;
   /** Longest lease that workers accept, in ms. */
   readonly leaseMs: number;
   /**
@@ -112,6 +116,7 @@
   readonly #board: JobBoard;
   readonly #progress: ProgressStore;
   readonly #leaderLease: LeaderLease;
+  readonly #guard: EvacuationGuard;
   readonly #rowCloser: RowCloser;
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
@@ -149,6 +154,7 @@
       silent: start.held.row.silent,
     });
     this.#board = this.#createBoard();
+    this.#guard = new EvacuationGuard({ ...options, board: this.#board });
     this.#rowCloser = new RowCloser({ clock, table });
     this.#runMonitor = new RunMonitor({
       ...options,
@@ -214,6 +220,9 @@
     const onAbort = () => this.#termAbort.abort();
     signal.addEventListener("abort", onAbort);
     if (signal.aborted) onAbort();
+    const unsubscribe = this.#options.evacuations?.subscribe(() =>
+      this.#onEvacuationsChanged(),
+    );
     const termSignal = this.#termAbort.signal;
     this.#commits.add(this.#progress.run(termSignal));
     this.#background.add(this.#leaderLease.run(termSignal));
@@ -226,6 +235,7 @@
       this.#background.logFailure(error);
     }
     this.#termAbort.abort();
+    unsubscribe?.();
     this.#planSignal.set();
     this.#progress.wake();
     // No more orders are sent, and workers refuse those under way once they
@@ -323,6 +333,7 @@
       link: {
         ...this.#options,
         board: this.#board,
+        guard: this.#guard,
         epoch: held.row.epoch,
         leaseMs: grantedLeaseMs(this.#options.leaseMs),
         maySendOrders: () =>
@@ -415,7 +426,9 @@
     this.#intake.removeFinished();
     this.#workers.removeDeparted({ isSettled: this.#isSettled });
     this.#intake.applyConfig();
+    this.#guard.checkAge();
     if (!this.#leaderLease.isValid) return;
+    this.#guard.stopOpenStarts();
     this.#updateSettled();
     this.#board.losses.resolveOpen(this.#planningState().areRunsKnown);
     this.#suspectStarts.giveUpCrashLoops();
@@ -470,11 +483,17 @@
     };
   }
 
+  #onEvacuationsChanged(): void {
+    this.#guard.stopOpenStarts();
+    this.#planSignal.set();
+  }
+
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
     return (
       worker.isRegistered &&
       worker.hasReported &&
       !worker.info.isDraining &&
+      this.#guard.mayStartOn(worker) &&
       this.#runMonitor.hasProbeRoom(worker, nowMs) &&
       worker.backoffUntilMs <= nowMs &&
       nowMs - worker.lastReportMs < MAX_REPORT_AGE_MS
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -16,6 +16,7 @@
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
+import type { EvacuationGuard } from "./evacuation_guard";
 import { WorkerClock } from "./worker_clock";
 
 /** Options that the links of a term share. */
@@ -25,6 +26,7 @@
   readonly metrics: Metrics;
   readonly board: JobBoard;
   readonly port: TaskWorker;
+  readonly guard: EvacuationGuard;
   /** Epoch of this leader; workers refuse orders of older ones. */
   readonly epoch: number;
   /** Length of the leases to grant, in ms. */
@@ -136,11 +138,15 @@
 
   /** Sends a start, with retries, and reports the outcome to the board. */
   async start(attempt: Attempt): Promise<void> {
-    const { clock, board, port, maySendOrders, metrics } = this.#options;
+    const { clock, board, port, maySendOrders, metrics, guard } = this.#options;
     let isUncertain = false;
     for (let tries = 0; tries < MAX_ORDER_TRIES; tries += 1) {
       if (attempt.phase !== AttemptPhase.Starting || !maySendOrders()) break;
-      const leaseUntilMs = this.#grantLease();
+      if (!guard.mayStartOn(this.worker)) {
+        this.#withdraw(attempt, isUncertain);
+        return;
+      }
+      const leaseUntilMs = this.#grantStart();
       if (leaseUntilMs === undefined) break;
       const { task, run } = attempt;
       const sentMs = clock.nowMs();
@@ -169,6 +175,16 @@
     }
   }
 
+  /** Gives up a start on a worker whose failure domain is evacuated. */
+  #withdraw(attempt: Attempt, isUncertain: boolean): void {
+    const { board, clock, metrics, onBoardChanged } = this.#options;
+    metrics.count("evacuation_withdrawn_starts");
+    // An earlier try of the same order may still take effect.
+    if (isUncertain) board.stop(attempt, "its failure domain is evacuated");
+    else board.onRefused(attempt, clock.nowMs());
+    onBoardChanged();
+  }
+
   /**
    * Sends a stop, with retries; does nothing while the same one is being sent.
    */
@@ -382,6 +398,16 @@
     return workerMs + leaseMs;
   }
 
+  /** Grants a lease; its end, and the latest start, on the worker's clock. */
+  #grantStart(): number | undefined {
+    const leaseUntilMs = this.#grantLease();
+    if (leaseUntilMs === undefined) return undefined;
+    const { guard, leaseMs } = this.#options;
+    // The next renewal extends a lease that is shortened for the start's sake.
+    const earlierMs = Math.max(0, leaseMs - Math.floor(guard.startWindowMs));
+    return leaseUntilMs - earlierMs;
+  }
+
   async #waitUntilStored(signal: AbortSignal): Promise<void> {
     const { clock } = this.#options;
     const untilMs = clock.nowMs() + MAX_STORE_WAIT_MS;
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -66,6 +66,8 @@
   #revision: number | undefined;
   /** Highest revision seen; snapshots below it are stale. */
   #minRevision: number;
+  /** Highest revision up to which all changes were read. */
+  #readRevision = 0;
   #snapshotBytes = 0;
   #confirmedMs = Number.NEGATIVE_INFINITY;
   /** Undefined while calls succeed. */
@@ -90,6 +92,11 @@
     return this.#confirmedMs;
   }
 
+  /** Highest revision up to which all changes were read; 0 before that. */
+  get revision(): number {
+    return this.#readRevision;
+  }
+
   /** Whether a snapshot was taken. */
   get isLoaded(): boolean {
     return this.#revision !== undefined;
@@ -109,6 +116,7 @@
     if (read.val.revision < this.#minRevision) return false;
     this.#revision = read.val.revision;
     this.#minRevision = read.val.revision;
+    this.#readRevision = read.val.revision;
     this.#snapshotBytes = read.val.bytes;
     const { rows, revision } = read.val;
     this.#notify({ prefix, revision }, () => listener.onSnapshot?.(read.val));
@@ -154,6 +162,7 @@
     for (const row of read.val.rows) this.#notifyRow(row);
     this.#revision = Math.max(after, read.val.revision);
     this.#minRevision = this.#revision;
+    this.#readRevision = this.#revision;
     // The table had no change at the end of a wait that was not cut short.
     const hasWaited =
       read.val.rows.length === 0 && clock.nowMs() >= sentMs + waitMs;
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -88,7 +88,7 @@
 const CALL_DURATION_MS = 2;
 /** Time after which a call without an answer fails, in ms. */
 const TIMEOUT_MS = 600;
-/** Delay after which a late order is executed, in ms. */
+/** Delay after which a late order is executed by default, in ms. */
 const LATE_ORDER_DELAY_MS = 4000;
 /** Longest lease that a worker accepts by default, in ms. */
 const DEFAULT_MAX_LEASE_MS = 6000;
@@ -114,6 +114,8 @@
   readonly unreachablePairs = new Set<string>();
   /** Workers on which calls time out and take effect seconds later. */
   readonly delayed = new Set<string>();
+  /** Delay after which orders to such workers take effect, in ms. */
+  lateOrderDelayMs = LATE_ORDER_DELAY_MS;
   /** Workers on which calls take effect, but whose answers are lost. */
   readonly answersLost = new Set<string>();
   /** Crashes of workers that tasks caused. */
@@ -398,7 +400,7 @@
       return Err(new Fault(FaultCode.WorkerUnreachable, target.id));
     }
     if (this.delayed.has(target.id)) {
-      void this.#clock.sleep(LATE_ORDER_DELAY_MS).then(execute);
+      void this.#clock.sleep(this.lateOrderDelayMs).then(execute);
       return await this.#timeOut(target);
     }
     const result = execute();
