feat(leader): move work out of evacuated failure domains

Work that ran in an evacuated domain stayed there until it ended. The planner for workers that leave is split: migrations.ts reserves room and chooses runs whose room is free, departures.ts (planDepartures, formerly planEvacuation) lists what runs on leaving workers, as before, and evacuation.ts lists what runs in evacuated domains. Long-running tasks move within the disruptionLimit of their step (a quarter of the tasks where it names none); a task counts as away until its new run has reported 100 percent. Runs that save checkpoints move if they have more than 3 s left, unless more urgent tasks wait for room. Other runs and gangs stay, and nothing is stopped before its room elsewhere is free.

The remaining time of a run is its estimate less the reported percent, until the timeline of the planning part is there.

Tests: departures_test is the former evacuation_test with the new names; evacuation_test and evacuation_moves_test are new, with leader changes while stops are in progress, late stops, lost answers, all domains evacuated, and a worker that returns in another domain.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -373,9 +373,13 @@
 class RegistryStandin extends WorkerRegistry {
   override readonly prefix = "workers/";
 
-  /** The part of the id before the first dash, if any, is the failure domain. */
+  /**
+   * The part of the value after an at sign is the failure domain, or else the
+   * part of the id before the first dash.
+   */
   override decode(id: string, value: string): Result<RegisteredWorker, Fault> {
-    const failureDomain = id.includes("-") ? id.split("-")[0] : "d";
+    const domainOfId = id.includes("-") ? id.split("-")[0] : "d";
+    const failureDomain = value.split("@")[1] ?? domainOfId;
     const bornMs = Number.parseInt(value, 10) || 0;
     const address = `${machineOf(id)}:1`;
     const isDraining = value === DRAINING;
--- a/packages/jobs/src/attempt.ts
+++ b/packages/jobs/src/attempt.ts
@@ -32,6 +32,7 @@
     previousMeasurement: 0,
     overSinceMs: undefined,
     percent: 0,
+    wasAtFullSpeed: false,
     progressMs: sentMs,
     missedReports: 0,
     stoppedMs: undefined,
--- a/packages/jobs/src/evacuation.ts
+++ b/packages/jobs/src/evacuation.ts
@@ -1,80 +1,155 @@
 import type { JobBoard } from "./job_board";
-import { isRoomFree, releaseUnused, reserveRoom } from "./reservations";
-import type { PlanOptions } from "./start_planner";
-import { StepCandidates } from "./step_candidates";
-import { type Attempt, AttemptPhase } from "./task";
-import type { WorkerRecord } from "./worker_record";
+import { isFinal } from "./job_state";
+import { type MigrationOptions, planMigrations } from "./migrations";
+import { isWaiting, listReadySteps } from "./start_planner";
+import { type Attempt, AttemptPhase, type StepRun, type Task } from "./task";
 
-/** Input of {@linkcode planEvacuation} besides the board. */
-export type EvacuationOptions = Omit<PlanOptions, "limit">;
+/**
+ * Time that a run must have left to be moved, in ms: a stop takes up to 400 ms,
+ * a restart up to 250 ms, and up to 2 s of work since the last checkpoint is
+ * done again.
+ */
+const MIN_LEFT_MS = 3000;
+/**
+ * Largest share of the tasks of a long-running step that is away at the same
+ * time if the step names no limit.
+ */
+const DEFAULT_AWAY_SHARE = 0.25;
 
 /**
- * Chooses runs to stop on workers that are leaving, so that their tasks go on
- * elsewhere before the workers end. A run that ends with its worker is known to
- * have ended only once the worker's lease has expired.
- *
- * A run stays where it is until room for its task is reserved on another worker
- * and free.
+ * Chooses runs to stop in failure domains that are evacuated, so that their tasks
+ * go on elsewhere: long-running tasks within the limit of their step, and runs
+ * that save checkpoints. Other runs end by themselves, as do gangs.
  */
 export function planEvacuation(
   board: JobBoard,
-  options: EvacuationOptions,
+  options: MigrationOptions,
 ): Attempt[] {
-  releaseUnused(board);
-  const movable = listMovable(board, options);
-  if (movable.length === 0) return [];
-  const usable = [...board.workers.values()].filter(options.isUsable);
-  return movable.filter((attempt) => {
-    reserveElsewhere(attempt, usable, options);
-    return isRoomFree(attempt.task);
+  return planMigrations(board, options, () => {
+    const inside = listInside(board, options);
+    if (inside.length === 0) return [];
+    return [
+      ...listLongRunning(inside),
+      ...listCheckpointing(board, inside, options),
+    ];
   });
 }
 
-/** Lists the runs that will not end before their worker leaves. */
-function listMovable(
+/** Lists the runs in evacuated domains that can be moved one by one. */
+function listInside(
   board: JobBoard,
-  { nowMs, areRunsKnown }: EvacuationOptions,
+  { areRunsKnown }: MigrationOptions,
 ): Attempt[] {
-  const movable: Attempt[] = [];
+  const inside: Attempt[] = [];
   for (const worker of board.workers.values()) {
-    if (!worker.isLeaving || worker.isSilent) continue;
+    if (!worker.isInEvacuation || worker.isSilent) continue;
+    // Departures move what runs on workers that leave.
+    if (worker.isLeaving || !worker.isRegistered) continue;
     for (const attempt of worker.attempts) {
-      if (!areRunsKnown(attempt.task.stepRun.record)) continue;
-      if (isMovable(attempt, worker.leavesAtMs - nowMs)) movable.push(attempt);
+      const { stepRun, attempts } = attempt.task;
+      if (attempt.phase !== AttemptPhase.Running) continue;
+      // Another copy of the task may be at work elsewhere.
+      if (stepRun.step.isGang || attempts.length > 1) continue;
+      if (areRunsKnown(stepRun.record)) inside.push(attempt);
     }
   }
-  return movable;
+  return inside;
+}
+
+/** Chooses long-running tasks, as many of each step as may be away. */
+function listLongRunning(inside: readonly Attempt[]): Attempt[] {
+  const bySteps = new Map<StepRun, Attempt[]>();
+  for (const attempt of inside) {
+    const { stepRun } = attempt.task;
+    if (!stepRun.step.isLongRunning) continue;
+    const others = bySteps.get(stepRun);
+    if (others === undefined) bySteps.set(stepRun, [attempt]);
+    else others.push(attempt);
+  }
+  return [...bySteps].flatMap(([stepRun, attempts]) =>
+    chooseWithinLimit(stepRun, attempts),
+  );
+}
+
+function chooseWithinLimit(
+  stepRun: StepRun,
+  attempts: readonly Attempt[],
+): Attempt[] {
+  let away = stepRun.tasks.filter(isAway).length;
+  const limit = awayLimitOf(stepRun);
+  // Tasks that are away already, and those that hold room, go first.
+  const sorted = [...attempts].sort(
+    (a, b) => rankOf(a.task) - rankOf(b.task) || a.task.index - b.task.index,
+  );
+  return sorted.filter(({ task }) => {
+    const next = isAway(task) ? away : away + 1;
+    if (next > limit) return false;
+    away = next;
+    return true;
+  });
+}
+
+function rankOf(task: Task): number {
+  if (isAway(task)) return 0;
+  return task.reservedOn === undefined ? 2 : 1;
+}
+
+function awayLimitOf({ step, tasks }: StepRun): number {
+  if (step.disruptionLimit > 0) return step.disruptionLimit;
+  return Math.max(1, Math.floor(tasks.length * DEFAULT_AWAY_SHARE));
 }
 
-function isMovable(attempt: Attempt, timeLeftMs: number): boolean {
-  if (attempt.phase !== AttemptPhase.Running) return false;
-  const { step } = attempt.task.stepRun;
-  // Moving one task of a gang breaks the others, for which no room is reserved.
-  if (step.isGang) return false;
-  if (step.isLongRunning) return true;
-  // Moving any other run throws away work that it may still complete.
-  if (!step.isCheckpointing) return false;
-  const leftMs = step.estimateMs * (1 - attempt.percent / 100);
-  return leftMs > timeLeftMs;
+/** Whether a long-running task is not at work, or never was at full speed. */
+function isAway({ isDone, attempts }: Task): boolean {
+  if (isDone) return false;
+  return !attempts.some(
+    ({ phase, wasAtFullSpeed }) =>
+      phase === AttemptPhase.Running && wasAtFullSpeed,
+  );
 }
 
-function reserveElsewhere(
-  { task }: Attempt,
-  usable: readonly WorkerRecord[],
-  options: EvacuationOptions,
-): void {
-  if (task.reservedOn !== undefined) return;
-  const { stepRun } = task;
-  const poolName = stepRun.record.queue?.pool ?? "";
-  const pool = usable.filter(({ info }) => info.pool === poolName);
-  const candidates = new StepCandidates(stepRun, pool, {
-    ...options,
-    isPoolBusy: true,
+/**
+ * Lists the runs that save checkpoints and have long to go. They stay while more
+ * urgent tasks wait for the room that they would take elsewhere.
+ */
+function listCheckpointing(
+  board: JobBoard,
+  inside: readonly Attempt[],
+  options: MigrationOptions,
+): Attempt[] {
+  const movable = inside.filter(({ task: { stepRun }, percent }) => {
+    const { isCheckpointing, isLongRunning, estimateMs } = stepRun.step;
+    if (!isCheckpointing || isLongRunning) return false;
+    const isEstimated = estimateMs > 0;
+    return !isEstimated || estimateMs * (1 - percent / 100) > MIN_LEFT_MS;
   });
-  const free = candidates.choose();
-  const { isLongRunning, isFiller } = stepRun.step;
-  // Other tasks soon find room without holding it back; for a filler, room that
-  // becomes free says nothing about the serving tasks that it would slow.
-  const others = isLongRunning && !isFiller ? pool : [];
-  reserveRoom(task, others, free);
+  if (movable.length === 0) return [];
+  const waiting = findWaitingPriorities(board, options);
+  return movable.filter(({ task }) => {
+    const { queue } = task.stepRun.record;
+    const mostUrgent = waiting.get(queue?.pool ?? "");
+    return mostUrgent === undefined || (queue?.priority ?? 0) <= mostUrgent;
+  });
+}
+
+/** Priority of the most urgent queue with a waiting task, by pool. */
+function findWaitingPriorities(
+  board: JobBoard,
+  { nowMs, wallMs, areRunsKnown }: MigrationOptions,
+): Map<string, number> {
+  const priorities = new Map<string, number>();
+  for (const record of board.jobs.values()) {
+    const { queue } = record;
+    if (queue === undefined || isFinal(record.phase)) continue;
+    const known = priorities.get(queue.pool) ?? Number.POSITIVE_INFINITY;
+    if (queue.priority >= known || !areRunsKnown(record)) continue;
+    const isAnyWaiting = listReadySteps(record, wallMs).some(({ tasks }) =>
+      // Room is held back for the others already.
+      tasks.some(
+        (task) => task.reservedOn === undefined && isWaiting(task, nowMs),
+      ),
+    );
+    if (isAnyWaiting) priorities.set(queue.pool, queue.priority);
+  }
+  return priorities;
 }
--- a/packages/jobs/src/evacuation_test.ts
+++ b/packages/jobs/src/evacuation_test.ts
@@ -4,7 +4,6 @@
 import { InterferenceModel } from "./interference_model";
 import type { Step } from "./job";
 import { JobBoard } from "./job_board";
-import { reserveRoom } from "./reservations";
 import { planStarts } from "./start_planner";
 import { type Attempt, AttemptPhase, type Task } from "./task";
 import {
@@ -15,281 +14,305 @@
 } from "./test_samples";
 import type { WorkerRecord } from "./worker_record";
 
+interface Situation {
+  readonly board: JobBoard;
+  /** The worker in the evacuated domain. */
+  readonly inside: WorkerRecord;
+  /** Workers elsewhere, each with room for one task. */
+  readonly others: readonly WorkerRecord[];
+  /** Runs of all tasks of the step, inside, at full speed. */
+  readonly attempts: readonly Attempt[];
+}
+
 interface Case {
   readonly name: string;
   readonly step: Partial<Step>;
-  /** Number of the other workers; each has room for one task. */
-  readonly places: number;
-  /** Indices of the tasks that are moved. */
-  readonly moved: readonly number[];
+  /** Number of the other workers; 4 by default. */
+  readonly places?: number;
   /** Changes the situation before the plan. */
   readonly prepare?: (situation: Situation) => void;
-  /** Whether the job's tasks may start; true by default. */
-  readonly areRunsKnown?: boolean;
-}
-
-interface Situation {
-  readonly leaving: WorkerRecord;
-  readonly others: readonly WorkerRecord[];
-  /** Runs of all tasks of the step, on the leaving worker. */
-  readonly attempts: readonly Attempt[];
+  /** Indices of the tasks that are moved. */
+  readonly moved: readonly number[];
 }
 
 const NOW_MS = 10_000;
-/** Time for which the leaving worker surely stays, in ms. */
-const TIME_LEFT_MS = 2000;
 const ALL_CORES = { cpuMilli: 16_000, memoryMb: 1000, accelerators: 0 };
-const LONG_RUNNING = { isLongRunning: true, resources: ALL_CORES };
-const CHECKPOINTING = { isCheckpointing: true, estimateMs: 8000 };
+const LONG_RUNNING = { isLongRunning: true, resources: ALL_CORES, count: 4 };
+const CHECKPOINTING = {
+  isCheckpointing: true,
+  estimateMs: 8000,
+  resources: ALL_CORES,
+};
 
 const CASES: readonly Case[] = [
   {
-    name: "a long-running task moves at once",
-    step: LONG_RUNNING,
-    places: 1,
-    moved: [0],
+    name: "long-running tasks move within the limit of their step",
+    step: { ...LONG_RUNNING, disruptionLimit: 2 },
+    moved: [0, 1],
   },
   {
-    name: "nothing moves from a worker that stays",
-    step: LONG_RUNNING,
-    places: 1,
+    name: "without a limit, a quarter of the long-running tasks moves",
+    step: { ...LONG_RUNNING, count: 8 },
+    places: 8,
+    moved: [0, 1],
+  },
+  {
+    name: "a task that is away already counts towards the limit",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ attempts: [, second] }) => {
+      assert.ok(second);
+      second.worker.remove(second);
+      second.task.attempts.length = 0;
+    },
     moved: [],
-    prepare: ({ leaving }) => {
-      leaving.info = createWorkerInfo(leaving.id);
+  },
+  {
+    name: "a task that is being stopped counts towards the limit",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ attempts: [, second] }) => {
+      assert.ok(second);
+      second.phase = AttemptPhase.Stopping;
     },
+    moved: [],
   },
   {
-    name: "nothing moves from a worker that has left the registry",
-    step: LONG_RUNNING,
-    places: 1,
+    name: "a moved task counts until its new run reports full speed",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ board, others: [other], attempts: [first] }) => {
+      assert.ok(first && other);
+      first.worker.remove(first);
+      first.task.attempts.length = 0;
+      const next = board.onSent(first.task, 2, other, 0);
+      board.onStarted(next, 0);
+      next.percent = 99;
+      next.wasAtFullSpeed = false;
+    },
     moved: [],
-    prepare: ({ leaving }) => {
-      leaving.isRegistered = false;
+  },
+  {
+    name: "a moved task counts no more at full speed",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ board, others: [other], attempts: [first] }) => {
+      assert.ok(first && other);
+      first.worker.remove(first);
+      first.task.attempts.length = 0;
+      const next = board.onSent(first.task, 2, other, 0);
+      board.onStarted(next, 0);
+      next.percent = 100;
+      next.wasAtFullSpeed = true;
     },
+    moved: [1],
   },
   {
-    name: "nothing moves from a worker that does not answer",
-    step: LONG_RUNNING,
-    places: 1,
-    moved: [],
-    prepare: ({ leaving }) => {
-      leaving.isSilent = true;
+    name: "a task that is slowed after it was at full speed is not away",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ attempts: [, second] }) => {
+      assert.ok(second);
+      second.percent = 80;
     },
+    moved: [0],
   },
   {
-    name: "a task stays until it may start elsewhere",
-    step: LONG_RUNNING,
+    name: "of tasks inside, the one that is not at full speed moves first",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ attempts: [, , third] }) => {
+      assert.ok(third);
+      third.wasAtFullSpeed = false;
+    },
+    moved: [2],
+  },
+  {
+    name: "no more tasks are stopped than there is room elsewhere",
+    step: { ...LONG_RUNNING, disruptionLimit: 4 },
     places: 1,
+    moved: [0],
+  },
+  {
+    name: "everything stays while there is no room elsewhere",
+    step: { ...LONG_RUNNING, disruptionLimit: 4 },
+    places: 0,
     moved: [],
-    areRunsKnown: false,
   },
   {
-    name: "a long-running task of a gang stays",
-    step: { ...LONG_RUNNING, isGang: true },
-    places: 1,
+    name: "everything stays while all domains are evacuated",
+    step: { ...LONG_RUNNING, disruptionLimit: 4 },
+    prepare: ({ others }) => {
+      for (const other of others) other.isInEvacuation = true;
+    },
     moved: [],
   },
   {
-    name: "a task stays while the worker with room for it is gone",
-    step: LONG_RUNNING,
-    places: 1,
+    name: "a long-running task of a gang stays",
+    step: { ...LONG_RUNNING, disruptionLimit: 4, isGang: true },
     moved: [],
-    prepare: ({ attempts, others: [other] }) => {
-      const [first] = attempts;
-      assert.ok(first && other);
-      reserveRoom(first.task, [], other);
-      other.isRegistered = false;
-      other.info = createWorkerInfo(other.id, { isDraining: true });
-    },
   },
   {
-    name: "a task stays while no other worker has room",
-    step: LONG_RUNNING,
-    places: 0,
+    name: "a gang that saves checkpoints stays",
+    step: { ...CHECKPOINTING, isGang: true },
     moved: [],
   },
   {
-    name: "only as many tasks are on their way as workers have room",
-    step: { ...LONG_RUNNING, count: 3 },
-    places: 2,
-    moved: [0, 1],
+    name: "a run that saves checkpoints moves",
+    step: CHECKPOINTING,
+    moved: [0],
   },
   {
-    name: "a task on its way keeps the room of its next worker",
-    step: { ...LONG_RUNNING, count: 2 },
-    places: 1,
-    moved: [],
-    prepare: ({ attempts, others }) => {
-      const [first] = attempts;
-      assert.ok(first);
-      reserveRoom(first.task, others, others[0]);
-      first.worker.remove(first);
-      first.task.attempts.length = 0;
-    },
+    name: "a run of unknown duration that saves checkpoints moves",
+    step: { ...CHECKPOINTING, estimateMs: 0 },
+    moved: [0],
   },
   {
-    name: "a start that is not confirmed stays",
-    step: LONG_RUNNING,
-    places: 1,
-    moved: [],
+    name: "a run that soon ends stays",
+    step: CHECKPOINTING,
     prepare: ({ attempts: [attempt] }) => {
       assert.ok(attempt);
-      attempt.phase = AttemptPhase.Starting;
+      attempt.percent = 70;
     },
+    moved: [],
   },
   {
-    name: "a task with a checkpoint moves if it cannot end in time",
-    step: CHECKPOINTING,
-    places: 1,
-    moved: [0],
+    name: "a run without checkpoints stays",
+    step: { ...CHECKPOINTING, isCheckpointing: false },
+    moved: [],
   },
   {
-    name: "a task with a checkpoint stays if it will end in time",
+    name: "a run that saves checkpoints stays while more urgent tasks wait",
     step: CHECKPOINTING,
-    places: 1,
+    prepare: ({ board }) => {
+      addJob(board, "urgent", createStep(), 0);
+    },
     moved: [],
-    prepare: ({ attempts: [attempt] }) => {
-      assert.ok(attempt);
-      attempt.percent = 80;
+  },
+  {
+    name: "a run that saves checkpoints moves while less urgent tasks wait",
+    step: CHECKPOINTING,
+    prepare: ({ board }) => {
+      addJob(board, "relaxed", createStep(), 2);
     },
+    moved: [0],
   },
   {
-    name: "a task without checkpoints stays",
-    step: { estimateMs: 8000 },
-    places: 1,
+    name: "a long-running task moves while more urgent tasks wait",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ board }) => {
+      addJob(board, "urgent", createStep(), 0);
+    },
+    moved: [0],
+  },
+  {
+    name: "a task with another copy at work stays",
+    step: { ...CHECKPOINTING, isSpeculative: true },
+    prepare: ({ board, others: [other], attempts: [attempt] }) => {
+      assert.ok(attempt && other);
+      board.onStarted(board.onSent(attempt.task, 2, other, 0), 0);
+    },
     moved: [],
   },
   {
-    name: "a task of a gang stays",
-    step: { ...CHECKPOINTING, isGang: true },
-    places: 1,
+    name: "nothing moves from a worker that does not answer",
+    step: CHECKPOINTING,
+    prepare: ({ inside }) => {
+      inside.isSilent = true;
+    },
+    moved: [],
+  },
+  {
+    name: "nothing moves once the evacuation is lifted",
+    step: CHECKPOINTING,
+    prepare: ({ inside }) => {
+      inside.isInEvacuation = false;
+    },
     moved: [],
   },
 ];
 
-for (const given of CASES) {
-  const { name, step, places, moved, prepare, areRunsKnown = true } = given;
-  // Guards against tasks that end with a worker whose leaving was announced.
+for (const { name, step, places = 4, prepare, moved } of CASES) {
+  // Guards against an evacuation that itself takes services down, or that stops
+  // work which then finds no room.
   test(`evacuation: ${name}`, () => {
-    const { board, leaving } = createBoard();
-    leaving.leavesAtMs = NOW_MS + TIME_LEFT_MS;
-    const others = Array.from({ length: places }, (_, index) =>
-      board.addWorker(createWorkerInfo(`w${index}`)),
-    );
-    const attempts = startAll(board, "a", createStep(step), leaving);
-    prepare?.({ leaving, others, attempts });
-    const moves = planEvacuation(board, {
-      ...createOptions(),
-      areRunsKnown: () => areRunsKnown,
-    });
-    assert.deepEqual(
-      moves.map(({ task }) => task.index),
-      moved,
-    );
+    const situation = createSituation(createStep(step), places);
+    prepare?.(situation);
+    const moves = planEvacuation(situation.board, createOptions());
+    const indices = moves.map(({ task }) => task.index).sort();
+    assert.deepEqual(indices, moved);
   });
 }
 
-// Guards against long-running tasks that stay on a leaving worker, as shorter
-// tasks take all the room that becomes free.
-test("evacuation: room is held back for a long-running task until it is enough", () => {
-  const { board, leaving } = createBoard();
-  const other = board.addWorker(createWorkerInfo("w0"));
-  const quarter = { ...ALL_CORES, cpuMilli: 4000 };
-  const short = createStep({ count: 5, resources: quarter });
-  const half = { ...ALL_CORES, cpuMilli: 8000 };
-  startAll(
-    board,
-    "a",
-    createStep({ ...LONG_RUNNING, resources: half }),
-    leaving,
-  );
-  const options = createOptions();
-  addJob(board, "b", short);
-  const shorts = planStarts(board, options);
-  assert.equal(shorts.length, 4);
-  assert.deepEqual(planEvacuation(board, options), []);
-  const moved = shorts.slice(0, 2).map((attempt, index) => {
-    other.remove(attempt);
-    attempt.task.attempts.length = 0;
-    attempt.task.isDone = true;
-    assert.deepEqual(planStarts(board, options), [], `after ${index}`);
-    return planEvacuation(board, options).length;
-  });
-  assert.deepEqual(moved, [0, 1]);
-});
-
-// Guards against a task that is stopped and finds its room taken.
-test("evacuation: room stays reserved while its worker takes no new tasks for a moment", () => {
-  const { board, leaving } = createBoard();
-  board.addWorker(createWorkerInfo("w0"));
-  const half = { ...ALL_CORES, cpuMilli: 8000 };
-  const step = createStep({ ...LONG_RUNNING, resources: half });
-  const [attempt] = startAll(board, "a", step, leaving);
+// Guards against a task that is stopped for the evacuation and then finds its
+// room taken by others.
+test("evacuation: the room of a stopped task is kept until it starts there", () => {
+  const step = createStep({ ...LONG_RUNNING, count: 1, disruptionLimit: 1 });
+  const { board, attempts, others } = createSituation(step, 1);
+  const [attempt] = attempts;
   assert.ok(attempt);
-  addJob(board, "b", createStep({ count: 4, resources: half }));
   const options = createOptions();
   assert.equal(planEvacuation(board, options).length, 1);
-  board.stop(attempt, "its worker is leaving");
-  planEvacuation(board, { ...options, isUsable: () => false });
-  const shorter = planStarts(board, options);
+  board.stop(attempt, "its failure domain is evacuated");
+  addJob(board, "b", createStep({ count: 4 }), 0);
+  assert.deepEqual(planEvacuation(board, options), []);
+  assert.deepEqual(planStarts(board, options), []);
   board.onRefused(attempt, 0);
-  const moved = planStarts(board, options);
-  assert.deepEqual([shorter.length, moved.length], [1, 1]);
+  const [start] = planStarts(board, options);
+  assert.equal(start?.task, attempt.task);
+  assert.equal(start?.worker, others[0]);
 });
 
-// Guards against a filler that is stopped although no worker may take it.
-test("evacuation: a long-running filler stays while it would slow serving tasks", () => {
-  const { board, leaving } = createBoard();
-  const other = board.addWorker(createWorkerInfo("w0"));
-  const serving = createStep({ ...LONG_RUNNING, targetMs: 100, image: "i" });
-  const [served] = startAll(board, "s", serving, other);
-  assert.ok(served);
-  served.percent = 100;
-  served.measurement = 500;
-  served.overSinceMs = 0;
-  const filler = { isLongRunning: true, isFiller: true, image: "x" };
-  startAll(board, "f", createStep(filler), leaving);
-  const moves = planEvacuation(board, createOptions());
-  assert.deepEqual(moves, []);
+// Guards against room that stays held back in a domain that is evacuated next.
+test("evacuation: room in a domain that is evacuated meanwhile is given up", () => {
+  const step = createStep({ ...LONG_RUNNING, count: 1, disruptionLimit: 1 });
+  const { board, attempts, others } = createSituation(step, 2);
+  const [attempt] = attempts;
+  assert.ok(attempt);
+  assert.equal(planEvacuation(board, createOptions()).length, 1);
+  const { reservedOn } = attempt.task;
+  assert.ok(reservedOn);
+  reservedOn.isInEvacuation = true;
+  assert.equal(planEvacuation(board, createOptions()).length, 1);
+  assert.notEqual(attempt.task.reservedOn, reservedOn);
+  assert.equal(reservedOn.reservations.size, 0);
+  assert.ok(others.includes(reservedOn));
 });
 
-/** Planning options under which only the leaving worker takes no new tasks. */
 function createOptions() {
   return {
     nowMs: NOW_MS,
     wallMs: NOW_MS,
     limit: 100,
     model: new InterferenceModel(),
-    isUsable: ({ info }: WorkerRecord) => !info.isDraining,
+    isUsable: ({ isInEvacuation }: WorkerRecord) => !isInEvacuation,
     areRunsKnown: () => true,
   };
 }
 
-/** A board with one worker, which is leaving. */
-function createBoard(): { board: JobBoard; leaving: WorkerRecord } {
+function createSituation(step: Step, places: number): Situation {
   const listener = { onChanged() {}, onStop() {}, onEnd() {} };
   const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
-  const info = createWorkerInfo("leaving", { isDraining: true });
-  return { board, leaving: board.addWorker(info) };
-}
-
-/** Adds a job with the step, all of whose tasks run on the worker. */
-function startAll(
-  board: JobBoard,
-  id: string,
-  step: Step,
-  worker: WorkerRecord,
-): Attempt[] {
-  return addJob(board, id, step).map((task) => {
-    const attempt = board.onSent(task, 1, worker, 0);
+  const large = { cpuMilli: 640_000, memoryMb: 64_000, accelerators: 0 };
+  const inside = board.addWorker(
+    createWorkerInfo("inside", { capacity: large }),
+  );
+  inside.isInEvacuation = true;
+  const others = Array.from({ length: places }, (_, index) =>
+    board.addWorker(createWorkerInfo(`w${index}`)),
+  );
+  const attempts = addJob(board, "a", step, 1).map((task) => {
+    const attempt = board.onSent(task, 1, inside, 0);
     board.onStarted(attempt, 0);
+    attempt.percent = step.isLongRunning ? 100 : 10;
+    attempt.wasAtFullSpeed = step.isLongRunning;
     return attempt;
   });
+  return { board, inside, others, attempts };
 }
 
-function addJob(board: JobBoard, id: string, step: Step): Task[] {
+function addJob(
+  board: JobBoard,
+  id: string,
+  step: Step,
+  priority: number,
+): Task[] {
   const job = createJob(id, [step]);
-  const queue = createQueue();
+  const queue = createQueue({ priority });
   const record = board.addJob(job, 1, { queue, nowMs: 0, wallMs: 0 });
   return record.occurrences[0]?.[0]?.tasks ?? [];
 }
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -306,6 +306,7 @@
       attempt.progressMs = nowMs;
     }
     attempt.percent = running.percent;
+    attempt.wasAtFullSpeed ||= running.percent >= 100;
     recordMeasurement(attempt, running.measurement, nowMs);
     const { targetMs } = task.stepRun.step;
     if (targetMs === 0 || running.measurement <= targetMs) {
--- a/packages/jobs/src/reservations.ts
+++ b/packages/jobs/src/reservations.ts
@@ -41,17 +41,17 @@
 /** Releases reservations that are of no use any more. */
 export function releaseUnused(board: JobBoard): void {
   for (const worker of board.workers.values()) {
-    const isKept = worker.isRegistered && !worker.info.isDraining;
+    const isKept = worker.isRegistered && !worker.isToBeCleared;
     for (const task of worker.reservations) {
       if (!isKept || !needsRoom(task)) releaseRoom(task);
     }
   }
 }
 
-/** Whether the task waits, or has its only run on a worker that is leaving. */
+/** Whether the task waits, or has its only run on a worker that is cleared. */
 function needsRoom({ isDone, attempts, stepRun }: Task): boolean {
   if (isDone || isFinal(stepRun.record.phase)) return false;
-  return attempts.every(({ worker }) => worker.isLeaving);
+  return attempts.every(({ worker }) => worker.isToBeCleared);
 }
 
 /**
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -46,6 +46,8 @@
   overSinceMs: number | undefined;
   /** Last reported progress or speed in percent. */
   percent: number;
+  /** Whether it has reported 100 percent, for a long-running task full speed. */
+  wasAtFullSpeed: boolean;
   /** Monotonic ms at which its progress last changed. */
   progressMs: number;
   /** Number of consecutive reports that did not list it. */
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -28,6 +28,8 @@
    * if that is not known.
    */
   leavesAtMs = Number.NEGATIVE_INFINITY;
+  /** Whether its failure domain is evacuated. */
+  isInEvacuation = false;
   /** Whether a former leader's rows tell which runs may be active on it. */
   areRunsInherited = false;
   /** Monotonic ms at which its last answered renewal was sent. */
@@ -94,6 +96,11 @@
     return this.isRegistered && this.info.isDraining;
   }
 
+  /** Whether its tasks are to go on elsewhere. */
+  get isToBeCleared(): boolean {
+    return this.isLeaving || this.isInEvacuation;
+  }
+
   /**
    * Whether it may be granted a lease. Only then does the next leader know of
    * the lease and wait for it to expire.
--- a/packages/leader/src/evacuation_guard.ts
+++ b/packages/leader/src/evacuation_guard.ts
@@ -54,6 +54,13 @@
     return Math.max(MIN_START_WINDOW_MS, limitMs - ageMs - CLOCK_MARGIN_MS);
   }
 
+  /** Marks the workers whose failure domains are evacuated. */
+  markWorkers(): void {
+    for (const worker of this.#options.board.workers.values()) {
+      worker.isInEvacuation = !this.mayStartOn(worker);
+    }
+  }
+
   /** Stops starts in evacuated domains that are not confirmed. */
   stopOpenStarts(): void {
     const { board, evacuations, metrics, journal } = this.#options;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -3,7 +3,6 @@
 import type { FeedTable } from "@laburnumtrack/core/feed_table";
 import { Signal } from "@laburnumtrack/core/signal";
 import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
-import { planEvacuation } from "@laburnumtrack/jobs/evacuation";
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
@@ -17,6 +16,7 @@
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
+import { describeAttempt } from "./attempt_text";
 import { BackgroundTasks } from "./background_tasks";
 import { EvacuationGuard } from "./evacuation_guard";
 import { FormerLeases } from "./former_leases";
@@ -28,6 +28,7 @@
 import { StartDelayLog } from "./start_delay_log";
 import type { Succession } from "./succession";
 import { SuspectStarts } from "./suspect_starts";
+import { WorkerClearance } from "./worker_clearance";
 import { WorkerGroup } from "./worker_group";
 import { grantedLeaseMs, latestExpiryMs } from "./worker_link";
 
@@ -121,6 +122,7 @@
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
+  readonly #clearance: WorkerClearance;
   readonly #startDelayLog: StartDelayLog;
   readonly #suspectStarts: SuspectStarts;
   readonly #planSignal: Signal;
@@ -186,6 +188,11 @@
       onPauseDetected: (pausedMs) => this.#onPauseDetected(pausedMs),
     });
     this.#workers = this.#createWorkers();
+    this.#clearance = new WorkerClearance({
+      ...options,
+      board: this.#board,
+      model: this.#runMonitor.model,
+    });
     this.#startDelayLog = new StartDelayLog({
       ...options,
       board: this.#board,
@@ -428,11 +435,12 @@
     this.#intake.applyConfig();
     this.#guard.checkAge();
     if (!this.#leaderLease.isValid) return;
+    this.#guard.markWorkers();
     this.#guard.stopOpenStarts();
     this.#updateSettled();
     this.#board.losses.resolveOpen(this.#planningState().areRunsKnown);
     this.#suspectStarts.giveUpCrashLoops();
-    this.#evacuate();
+    this.#clearance.run(this.#planningState());
     const maxUnanswered =
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
     const limit = maxUnanswered - this.#workers.unansweredStarts;
@@ -450,26 +458,6 @@
     }
   }
 
-  /** Stops runs on workers that leave, to start their tasks elsewhere. */
-  #evacuate(): void {
-    const { journal, metrics } = this.#options;
-    const moves = planEvacuation(this.#board, {
-      ...this.#planningState(),
-      model: this.#runMonitor.model,
-    });
-    if (moves.length === 0) return;
-    metrics.count("evacuations", moves.length);
-    journal.info("Runs on leaving workers are stopped, to start elsewhere.", {
-      runs: moves.map(
-        (attempt) =>
-          `${attempt.task.stepRun.record.job.id}.${describeAttempt(attempt)}`,
-      ),
-    });
-    for (const attempt of moves) {
-      this.#board.stop(attempt, "its worker is leaving");
-    }
-  }
-
   /** Which workers and jobs may be planned now. */
   #planningState(): PlanningState {
     const { clock } = this.#options;
@@ -596,9 +584,3 @@
     this.#progress.wake();
   }
 }
-
-/** Task, run and worker of an attempt, for the log. */
-function describeAttempt({ task, run, worker }: Attempt): string {
-  const { occurrence, number } = task.stepRun;
-  return `${occurrence}.${number}.${task.index} run ${run} on ${worker.id}`;
-}
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -705,7 +705,7 @@
   },
   {
     name: "a run moves only when its task may start",
-    file: "packages/jobs/src/evacuation.ts",
+    file: "packages/jobs/src/departures.ts",
     from: "if (!areRunsKnown(attempt.task.stepRun.record)) continue;",
     to: "",
     test: KNOWLEDGE_CASES,
@@ -713,9 +713,9 @@
   {
     name: "room stays reserved over a backoff of its worker",
     file: "packages/jobs/src/reservations.ts",
-    from: "const isKept = worker.isRegistered && !worker.info.isDraining;",
+    from: "const isKept = worker.isRegistered && !worker.isToBeCleared;",
     to: "const isKept = false;",
-    test: "packages/jobs/src/evacuation_test.ts",
+    test: "packages/jobs/src/departures_test.ts",
   },
   {
     name: "longer leases are named until they have expired",
@@ -736,7 +736,7 @@
     file: "packages/jobs/src/worker_record.ts",
     from: "this.reservations.add(task);\n    this.#addResources(task, 1);",
     to: "this.reservations.add(task);\n    this.#addResources(task, 0);",
-    test: "packages/jobs/src/evacuation_test.ts",
+    test: "packages/jobs/src/departures_test.ts",
   },
   {
     name: "long-running tasks that are down go first",
