feat(config): entries tell each other of evacuations

An entry that the table refuses learnt of a new configuration from the others, but not of evacuations, and as a leader went on starting tasks in an evacuated domain. Entries also ask when only the evacuations are outdated.

Calls to relays name the failure domain of the worker for this.

--- a/packages/config/src/config_exchange.ts
+++ b/packages/config/src/config_exchange.ts
@@ -23,7 +23,7 @@
 const BACKOFF_MS = 3000;
 
 /**
- * Keeps the configuration up to date while the table does not answer: asks other
+ * Keeps the configuration and the evacuations up to date while the table does not answer: asks other
  * processes, each time the one whose last answer was the newest and another one.
  */
 export class ConfigExchange {
@@ -55,14 +55,16 @@
 
   #check(): void {
     const { watcher, askAgeMs, journal } = this.#options;
-    const isOutdated = watcher.ageMs > askAgeMs;
+    const { evacuations } = watcher;
+    const ageMs = Math.max(watcher.ageMs, evacuations?.ageMs ?? 0);
+    const isOutdated = ageMs > askAgeMs;
     if (isOutdated !== this.#isAsking) {
       this.#isAsking = isOutdated;
       journal.info(
         isOutdated
           ? "The configuration could not be confirmed for a while; other processes are asked."
           : "The configuration is confirmed again.",
-        { version: watcher.current.version, ageMs: finite(watcher.ageMs) },
+        { version: watcher.current.version, ageMs: finite(ageMs) },
       );
     }
     if (!isOutdated) return;
@@ -96,13 +98,16 @@
       if (this.#best?.address === address) this.#best = undefined;
       return;
     }
-    const { version, ageMs, text } = answer.val;
-    const confirmedMs =
-      ageMs === undefined ? Number.NEGATIVE_INFINITY : sentMs - ageMs;
+    const { version, ageMs, text, evacuations } = answer.val;
+    const toConfirmedMs = (age: number | undefined): number =>
+      age === undefined ? Number.NEGATIVE_INFINITY : sentMs - age;
+    const confirmedMs = toConfirmedMs(ageMs);
     if (confirmedMs >= (this.#best?.confirmedMs ?? confirmedMs)) {
       this.#best = { address, confirmedMs };
     }
     watcher.adopt({ version, confirmedMs, text });
+    if (evacuations === undefined) return;
+    watcher.evacuations?.adopt(evacuations, toConfirmedMs(evacuations.ageMs));
   }
 }
 
--- a/packages/config/src/config_offer.ts
+++ b/packages/config/src/config_offer.ts
@@ -12,10 +12,18 @@
 
   /** Body of an answer; the text is included if it is above that version. */
   answer(aboveVersion: number): string {
-    const { current, ageMs } = this.#watcher;
+    const { current, ageMs, evacuations } = this.#watcher;
     const { version } = current;
     const gzip = version > aboveVersion ? this.#compress() : undefined;
-    return encodeConfigMessage({ version, ageMs, gzip });
+    return encodeConfigMessage({
+      version,
+      ageMs,
+      gzip,
+      evacuations: evacuations && {
+        ...evacuations.shared,
+        ageMs: evacuations.ageMs,
+      },
+    });
   }
 
   #compress(): string {
--- a/packages/relay/src/relay_link.ts
+++ b/packages/relay/src/relay_link.ts
@@ -106,11 +106,11 @@
         resolve(Err(FaultCode.OutcomeUnknown));
       }, timeoutMs);
       this.#pending.set(id, { settle: resolve, timer });
-      const { id: workerId, address } = target;
+      const { id: workerId, address, failureDomain } = target;
       this.#send({
         kind: RelayMessageKind.Call,
         id,
-        target: { id: workerId, address },
+        target: { id: workerId, address, failureDomain },
         ...order,
       });
     });
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { Clock } from "@laburnumtrack/core/clock";
-import type { Fault } from "@laburnumtrack/core/fault";
+import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import {
   PAUSE_CHECK_INTERVAL_MS,
   PauseDetector,
@@ -8,7 +8,7 @@
 import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
-import type { Result } from "ts-results";
+import { Err, type Result } from "ts-results";
 import { LineReader } from "./line_reader";
 import {
   encodeRelayMessage,
@@ -37,6 +37,11 @@
   readonly port: TaskWorker;
   /** Latest leadership that this process has read from the table. */
   readonly leadership: () => KnownLeadership | undefined;
+  /**
+   * Whether this process knows for certain that a failure domain is evacuated;
+   * by default none is.
+   */
+  readonly isEvacuated?: (domain: string) => boolean;
 }
 
 /** Time for which replies are gathered into one write, in ms. */
@@ -250,10 +255,15 @@
   }
 
   async #carryOut(call: RelayCall): Promise<Result<RelayValue, Fault>> {
-    const { port } = this.#options;
+    const { port, isEvacuated } = this.#options;
     const { target } = call;
     switch (call.operation) {
       case RelayOperation.Start:
+        // The leader may learn of the evacuation later than this process.
+        if (isEvacuated?.(target.failureDomain ?? "")) {
+          this.#options.metrics.count('relay_refusals{cause="evacuation"}');
+          return Err(new Fault(FaultCode.WorkerUnreachable, target.id));
+        }
         return await port.start(target, call.order);
       case RelayOperation.Renew:
         return await port.renew(target, call.order);
--- a/packages/relay/src/relay_test.ts
+++ b/packages/relay/src/relay_test.ts
@@ -32,6 +32,7 @@
   readonly metrics = new Metrics();
   known: KnownLeadership | undefined = LEADERSHIP;
   address = "";
+  readonly evacuated = new Set<string>();
   readonly journal = createJournal("test", "fatal");
   readonly server = new RelayServer({
     clock: this.clock,
@@ -39,6 +40,7 @@
     metrics: this.metrics,
     port: this.fleet,
     leadership: () => this.known,
+    isEvacuated: (domain) => this.evacuated.has(domain),
   });
 
   open(hello: KnownLeadership = LEADERSHIP): RelayLink {
@@ -96,6 +98,25 @@
       link.close();
     },
   },
+  {
+    // The relay may know of an evacuation before the leader does.
+    name: "a start in an evacuated domain is refused, other calls are not",
+    act: async (world) => {
+      world.evacuated.add("x");
+      const link = world.open();
+      await until(() => link.isOpen);
+      const inside = { ...TARGET, failureDomain: "x" };
+      const refused = await link.call(inside, startOrder(), TIMEOUT_MS);
+      assert.equal(refused.val, FaultCode.WorkerUnreachable);
+      assert.equal(world.fleet.counts.starts, 0);
+      const renewed = await link.call(inside, renewOrder(), TIMEOUT_MS);
+      assert.ok(renewed.ok);
+      const outside = { ...TARGET, failureDomain: "y" };
+      const started = await link.call(outside, startOrder(), TIMEOUT_MS);
+      assert.ok(started.ok);
+      link.close();
+    },
+  },
   {
     name: "the fault of a call is returned",
     act: async (world) => {
