feat(jobs): return load to cold workers step by step

After an evacuation, and after their start, workers are slow for a time and got their full share of tasks at once. Runs on cold workers change neither the interference model nor worker health.

--- a/packages/evacuation/src/domain_evacuations.ts
+++ b/packages/evacuation/src/domain_evacuations.ts
@@ -102,6 +102,11 @@
     return this.#evacuations.has(domain);
   }
 
+  /** The evacuation of a failure domain; undefined if it is not evacuated. */
+  get(domain: string): Evacuation | undefined {
+    return this.#evacuations.get(domain);
+  }
+
   /** The evacuations that have not been lifted. */
   list(): Evacuation[] {
     return [...this.#evacuations.values()];
--- a/packages/jobs/src/queue_config.ts
+++ b/packages/jobs/src/queue_config.ts
@@ -44,6 +44,13 @@
   readonly isGuarded: boolean;
   /** Whether its VMs stay off until they are assigned to another pool. */
   readonly isStandby: boolean;
+  /** Time for which a worker is slow after its start, in ms; 0 by default. */
+  readonly coldStartMs?: number;
+  /**
+   * Time for which a worker is slow for each ms that it was without new work,
+   * at most `coldStartMs` in all; 0 by default.
+   */
+  readonly coldingRate?: number;
 }
 
 /** A version of the queues and pools. */
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -23,7 +23,7 @@
   type StepRun,
   type Task,
 } from "./task";
-
+import { mayOverloadCold } from "./worker_fit";
 import type { WorkerRecord } from "./worker_record";
 
 /** Fraction of a pool's CPU that is reserved when the pool counts as busy. */
@@ -56,13 +56,18 @@
 export function planStarts(board: JobBoard, options: PlanOptions): Attempt[] {
   const starts: Attempt[] = [];
   const pools = groupUsableByPool(board, options);
-  const placementFailures = new PlacementFailures();
+  const failures = new PlacementFailures();
+  // Failures of other steps say nothing of those that may overload cold workers.
+  const relaxedFailures = new PlacementFailures();
   for (const record of rankJobs(board, options)) {
     if (!options.areRunsKnown(record)) continue;
     const pool = pools.get(record.queue?.pool ?? "");
     if (pool === undefined) continue;
     for (const stepRun of listReadySteps(record, options.wallMs)) {
       if (starts.length >= options.limit) return starts;
+      const placementFailures = mayOverloadCold(stepRun, options.nowMs)
+        ? relaxedFailures
+        : failures;
       planStep(board, { stepRun, pool, starts, placementFailures, options });
     }
   }
--- a/packages/jobs/src/task_worker.ts
+++ b/packages/jobs/src/task_worker.ts
@@ -29,6 +29,11 @@
   readonly rack: string;
   /** Unix ms of its start, which identifies its incarnation; 0 if unknown. */
   readonly bornMs: number;
+  /**
+   * Time for which it is slow after its start, in ms; undefined if its pool's
+   * time applies.
+   */
+  readonly coldRemainingMs?: number | undefined;
 }
 
 /** The worker that an order is sent to. */
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -15,6 +15,16 @@
 const SAME_IMAGE_SCORE = 1;
 /** Penalty for each unit of utilization that fillers add to a serving task. */
 const FILLER_PENALTY = 1;
+/**
+ * Penalty for a worker that has all of its cold time before it: as much as the
+ * whole capacity of a warm worker counts.
+ */
+const COLD_PENALTY = 1;
+/**
+ * Idle time of a job after which it may exceed the limit of cold workers, in ms:
+ * a job must not be left without a run for 3 s while there is capacity.
+ */
+const MAX_COLD_IDLE_MS = 1000;
 /** Penalty for each task of the same long-running step on the worker. */
 const SAME_STEP_PENALTY = 0.25;
 
@@ -39,6 +49,9 @@
 ): number | undefined {
   const { step } = stepRun;
   if (!hasRoom(stepRun, worker)) return undefined;
+  if (worker.isAtColdLimit && !mayOverloadCold(stepRun, nowMs)) {
+    return undefined;
+  }
   const cost = step.isFiller
     ? model.interferenceCostOf(step, worker, nowMs, costLimit)
     : 0;
@@ -55,6 +68,7 @@
     score += SIBLING_RACK_SCORE;
   }
   score -= cost * INTERFERENCE_PENALTY;
+  score -= worker.coldness * COLD_PENALTY;
   if (step.isFiller && worker.serving.size > 0) score -= SHARED_WORKER_PENALTY;
   if (step.targetMs > 0) score += scoreServing(step, worker, model);
   if (step.isLongRunning) {
@@ -83,6 +97,16 @@
   );
 }
 
+/** Whether tasks of the step may exceed the limits of cold workers. */
+export function mayOverloadCold(
+  { idleSinceMs, step }: StepRun,
+  nowMs: number,
+): boolean {
+  // A long-running task that is down does not wait for a worker to warm up.
+  if (step.isLongRunning) return true;
+  return nowMs - (idleSinceMs ?? nowMs) > MAX_COLD_IDLE_MS;
+}
+
 /** Scores a serving task: favours the same image and little interference. */
 function scoreServing(
   step: Step,
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -30,6 +30,18 @@
   leavesAtMs = Number.NEGATIVE_INFINITY;
   /** Whether its failure domain is evacuated. */
   isInEvacuation = false;
+  /** Monotonic ms since which it was in an evacuation, the last time. */
+  evacuatedSinceMs = Number.NEGATIVE_INFINITY;
+  /** Part of its cold time that it has still before it; 0 when it is warm. */
+  coldness = 0;
+  /** Most tasks that it may have while it is cold. */
+  coldTaskLimit = Number.POSITIVE_INFINITY;
+  /** Monotonic ms at which an evacuation of its failure domain was lifted. */
+  cooledMs = Number.NEGATIVE_INFINITY;
+  /** Time for which it is cold from then on, in ms. */
+  coldAgainMs = 0;
+  /** Monotonic ms at which it was first seen, if its start is not known. */
+  firstSeenMs: number | undefined;
   /** Whether a former leader's rows tell which runs may be active on it. */
   areRunsInherited = false;
   /** Monotonic ms at which its last answered renewal was sent. */
@@ -163,6 +175,11 @@
     return sum;
   }
 
+  /** Whether it has as many tasks as it may have while it is cold. */
+  get isAtColdLimit(): boolean {
+    return this.attempts.size + this.reservations.size >= this.coldTaskLimit;
+  }
+
   /** Whether it has a task that may crash it. */
   get hasSuspect(): boolean {
     if (this.suspects.size === 0) return false;
--- /dev/null
+++ b/packages/leader/src/cold_runs_test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { JobBoard } from "@laburnumtrack/jobs/job_board";
+import { RunEnd } from "@laburnumtrack/jobs/task_worker";
+import {
+  createJob,
+  createQueue,
+  createStep,
+  createWorkerInfo,
+} from "@laburnumtrack/jobs/test_samples";
+import { createJournal } from "@laburnumtrack/process/journal";
+import { Metrics } from "@laburnumtrack/process/metrics";
+import { MemoryTable } from "@laburnumtrack/standins/memory_table";
+import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
+import { RunMonitor } from "./run_monitor";
+
+const CASES: readonly {
+  readonly name: string;
+  readonly coldness: number;
+  readonly isUsed: boolean;
+}[] = [
+  { name: "a warm worker is set aside", coldness: 0, isUsed: false },
+  { name: "a cold worker is not", coldness: 0.5, isUsed: true },
+];
+
+for (const { name, coldness, isUsed } of CASES) {
+  // Guards against workers that are set aside because runs are slow, and fail,
+  // right after their start.
+  test(`cold runs: after failures of several jobs ${name}`, () => {
+    const board = new JobBoard(
+      { onChanged() {}, onStop() {}, onEnd() {} },
+      { runFloor: 0, allJobsKnownMs: 0 },
+    );
+    const monitor = new RunMonitor({
+      clock: new VirtualClock(),
+      table: new MemoryTable(),
+      journal: createJournal("test", "fatal"),
+      metrics: new Metrics(),
+      board,
+      restoreMs: 100,
+      sendPace() {},
+    });
+    const worker = board.addWorker(createWorkerInfo("w"));
+    worker.coldness = coldness;
+    for (let job = 0; job < 6; job += 1) {
+      const record = board.addJob(createJob(`j${job}`, [createStep()]), 1, {
+        queue: createQueue(),
+        nowMs: 0,
+        wallMs: 0,
+      });
+      const task = record.occurrences[0]?.[0]?.tasks[0];
+      assert.ok(task);
+      monitor.onEnd(
+        task,
+        {
+          number: job + 1,
+          task: { jobId: `j${job}`, occurrence: 0, step: 0, index: 0 },
+          run: 1,
+          end: RunEnd.Failed,
+          checkpoint: "",
+        },
+        worker,
+      );
+    }
+    assert.equal(monitor.hasProbeRoom(worker, 0), isUsed);
+  });
+}
--- a/packages/leader/src/evacuation_guard.ts
+++ b/packages/leader/src/evacuation_guard.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
+import { cool, updateColdWorkers } from "@laburnumtrack/jobs/cold_ramp";
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
+import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import { type Attempt, AttemptPhase } from "@laburnumtrack/jobs/task";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -12,6 +14,8 @@
   readonly journal: Journal;
   readonly metrics: Metrics;
   readonly board: JobBoard;
+  /** The queue configuration that this process uses. */
+  readonly config: () => QueueConfig;
   /** Undefined if requests for evacuations are ignored. */
   readonly evacuations?: DomainEvacuations | undefined;
 }
@@ -54,11 +58,28 @@
     return Math.max(MIN_START_WINDOW_MS, limitMs - ageMs - CLOCK_MARGIN_MS);
   }
 
-  /** Marks the workers whose failure domains are evacuated. */
+  /**
+   * Marks the workers whose failure domains are evacuated, and those that are
+   * cold, also after an evacuation.
+   */
   markWorkers(): void {
-    for (const worker of this.#options.board.workers.values()) {
-      worker.isInEvacuation = !this.mayStartOn(worker);
+    const { board, clock, evacuations, config } = this.#options;
+    // Without evacuations, workers are used as they always were.
+    if (evacuations === undefined) return;
+    const nowMs = clock.nowMs();
+    const { pools } = config();
+    for (const worker of board.workers.values()) {
+      const evacuation = evacuations.get(worker.info.failureDomain);
+      const isInEvacuation = evacuation !== undefined;
+      if (isInEvacuation) worker.evacuatedSinceMs = evacuation.sinceMs;
+      else if (worker.isInEvacuation) {
+        const idleMs = nowMs - worker.evacuatedSinceMs;
+        const pool = pools.find(({ name }) => name === worker.info.pool);
+        cool(worker, pool, { nowMs, idleMs });
+      }
+      worker.isInEvacuation = isInEvacuation;
     }
+    updateColdWorkers(board, { nowMs, wallMs: clock.wallMs(), pools });
   }
 
   /** Stops starts in evacuated domains that are not confirmed. */
--- a/packages/leader/src/run_monitor.ts
+++ b/packages/leader/src/run_monitor.ts
@@ -81,7 +81,8 @@
   onReport(worker: WorkerRecord): void {
     const { clock, restoreMs } = this.#options;
     const nowMs = clock.nowMs();
-    this.model.observe(worker, nowMs);
+    // What runs on a cold worker is slower than the model would expect.
+    if (worker.coldness === 0) this.model.observe(worker, nowMs);
     for (const order of planRelief(this.model, worker, { nowMs, restoreMs })) {
       this.#applyRelief(worker, order, nowMs);
     }
@@ -94,7 +95,7 @@
     const { record, number } = task.stepRun;
     metrics.count(`ends{end="${end}"}`);
     if (end === RunEnd.Done) {
-      this.#health.onDone(worker.id);
+      if (worker.coldness === 0) this.#health.onDone(worker.id);
       return;
     }
     journal.info("A run ended without completing its task.", {
@@ -106,7 +107,9 @@
       worker: worker.id,
       failures: task.failedRuns.size,
     });
-    if (end === RunEnd.Failed) this.#onFailed(worker, record.job.id);
+    // Being slow, a cold worker fails runs that would complete on a warm one.
+    const isToBlame = end === RunEnd.Failed && worker.coldness === 0;
+    if (isToBlame) this.#onFailed(worker, record.job.id);
   }
 
   #onFailed(worker: WorkerRecord, job: string): void {
