--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { FeedTable } from "@laburnumtrack/core/feed_table";
 import { Signal } from "@laburnumtrack/core/signal";
-import { planEvacuation } from "@laburnumtrack/jobs/evacuation";
+import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
@@ -16,7 +16,9 @@
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
+import { describeAttempt } from "./attempt_text";
 import { BackgroundTasks } from "./background_tasks";
+import { EvacuationGuard } from "./evacuation_guard";
 import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
@@ -27,6 +29,7 @@
 import { StartDelayLog } from "./start_delay_log";
 import type { Succession } from "./succession";
 import { SuspectStarts } from "./suspect_starts";
+import { WorkerClearance } from "./worker_clearance";
 import { WorkerGroup } from "./worker_group";
 import { grantedLeaseMs, latestExpiryMs } from "./worker_link";
 
@@ -40,6 +43,8 @@
   readonly metrics: Metrics;
   /** The queue configuration that this process uses. */
   readonly config: () => QueueConfig;
+  /** Evacuated failure domains; undefined if requests are ignored. */
+  readonly evacuations?: DomainEvacuations | undefined;
   /** Longest lease that workers accept, in ms. */
   readonly leaseMs: number;
   /**
@@ -118,10 +123,12 @@
   readonly #board: JobBoard;
   readonly #progress: ProgressStore;
   readonly #leaderLease: LeaderLease;
+  readonly #guard: EvacuationGuard;
   readonly #rowCloser: RowCloser;
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
+  readonly #clearance: WorkerClearance;
   readonly #startDelayLog: StartDelayLog;
   readonly #suspectStarts: SuspectStarts;
   readonly #planSignal: Signal;
@@ -155,6 +162,7 @@
       silent: start.held.row.silent,
     });
     this.#board = this.#createBoard();
+    this.#guard = new EvacuationGuard({ ...options, board: this.#board });
     this.#rowCloser = new RowCloser({ clock, table });
     this.#runMonitor = new RunMonitor({
       ...options,
@@ -186,6 +194,11 @@
       onPauseDetected: (pausedMs) => this.#onPauseDetected(pausedMs),
     });
     this.#workers = this.#createWorkers();
+    this.#clearance = new WorkerClearance({
+      ...options,
+      board: this.#board,
+      model: this.#runMonitor.model,
+    });
     this.#startDelayLog = new StartDelayLog({
       ...options,
       board: this.#board,
@@ -221,6 +234,9 @@
     const onAbort = () => this.#termAbort.abort();
     signal.addEventListener("abort", onAbort);
     if (signal.aborted) onAbort();
+    const unsubscribe = this.#options.evacuations?.subscribe(() =>
+      this.#onEvacuationsChanged(),
+    );
     const termSignal = this.#termAbort.signal;
     this.#commits.add(this.#progress.run(termSignal));
     this.#background.add(this.#leaderLease.run(termSignal));
@@ -233,6 +249,7 @@
       this.#background.logFailure(error);
     }
     this.#termAbort.abort();
+    unsubscribe?.();
     this.#planSignal.set();
     this.#progress.wake();
     // No more orders are sent, and workers refuse those under way once they
@@ -330,6 +347,7 @@
       link: {
         ...this.#options,
         board: this.#board,
+        guard: this.#guard,
         epoch: held.row.epoch,
         leaseMs: grantedLeaseMs(this.#options.leaseMs),
         latency: new OrderLatency(this.#options.orderResendMs ?? 0),
@@ -423,11 +441,14 @@
     this.#intake.removeFinished();
     this.#workers.removeDeparted({ isSettled: this.#isSettled });
     this.#intake.applyConfig();
+    this.#guard.checkAge();
     if (!this.#leaderLease.isValid) return;
+    this.#guard.markWorkers();
+    this.#guard.stopOpenStarts();
     this.#updateSettled();
     this.#board.losses.resolveOpen(this.#planningState().areRunsKnown);
     this.#suspectStarts.giveUpCrashLoops();
-    this.#evacuate();
+    this.#clearance.run(this.#planningState());
     const maxUnanswered =
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
     const limit = maxUnanswered - this.#workers.unansweredStarts;
@@ -452,26 +473,6 @@
     }
   }
 
-  /** Stops runs on workers that leave, to start their tasks elsewhere. */
-  #evacuate(): void {
-    const { journal, metrics } = this.#options;
-    const moves = planEvacuation(this.#board, {
-      ...this.#planningState(),
-      model: this.#runMonitor.model,
-    });
-    if (moves.length === 0) return;
-    metrics.count("evacuations", moves.length);
-    journal.info("Runs on leaving workers are stopped, to start elsewhere.", {
-      runs: moves.map(
-        (attempt) =>
-          `${attempt.task.stepRun.record.job.id}.${describeAttempt(attempt)}`,
-      ),
-    });
-    for (const attempt of moves) {
-      this.#board.stop(attempt, "its worker is leaving");
-    }
-  }
-
   /** Which workers and jobs may be planned now. */
   #planningState(): PlanningState {
     const { clock } = this.#options;
@@ -501,11 +502,17 @@
     return worker.areRunsKnown || nowMs >= worker.leaseExpiryMs;
   }
 
+  #onEvacuationsChanged(): void {
+    this.#guard.stopOpenStarts();
+    this.#planSignal.set();
+  }
+
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
     return (
       worker.isRegistered &&
       worker.hasReported &&
       !worker.info.isDraining &&
+      this.#guard.mayStartOn(worker) &&
       this.#runMonitor.hasProbeRoom(worker, nowMs) &&
       worker.backoffUntilMs <= nowMs &&
       nowMs - worker.lastReportMs < MAX_REPORT_AGE_MS
@@ -616,9 +623,3 @@
 function keepsPlacement({ stepRun: { step } }: Task): boolean {
   return step.isLongRunning && !step.isGang && !step.isSpeculative;
 }
-
-/** Task, run and worker of an attempt, for the log. */
-function describeAttempt({ task, run, worker }: Attempt): string {
-  const { occurrence, number } = task.stepRun;
-  return `${occurrence}.${number}.${task.index} run ${run} on ${worker.id}`;
-}
