feat(desk): settle submissions whose commit got no answer

A submission whose commit got no answer was retried with the same commit until the caller's time ended, one call of up to 1 s after the other, and then answered with 504, which callers do not retry. Two 'Conflict' answers counted as 'stored' without a look at the row.

From 1 s before the deadline it writes a tombstone under the job's key in place of the job: once that is stored, the conditions of all earlier commits have failed for good, and the answer is 503 (NotStored). The row itself proves that a job is stored. A later submission replaces the tombstone under its revision; a submission that a tombstone lists never stores its job. A tombstone is not found by status requests and cancels, and the leader's intake ignores it. A further submission to the same process of a job with unknown outcome is not answered with 503 only because the table rejects it.

--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -6,6 +6,8 @@
   StoreUnavailable = "store_unavailable",
   /** The call was sent but no reply arrived; it may have taken effect. */
   OutcomeUnknown = "outcome_unknown",
+  /** The job is not stored, and commits that were sent for it cannot store it. */
+  NotStored = "not_stored",
   /** The requested object does not exist. */
   NotFound = "not_found",
   /** A worker did not answer. */
@@ -56,6 +58,7 @@
   [FaultCode.Conflict]: "a row changed since it was read",
   [FaultCode.StoreUnavailable]: "the platform's store is unavailable",
   [FaultCode.OutcomeUnknown]: "the outcome of the call is unknown",
+  [FaultCode.NotStored]: "the job is not stored and will not be",
   [FaultCode.NotFound]: "not found",
   [FaultCode.WorkerUnreachable]: "the worker does not answer",
   [FaultCode.StaleLease]:
--- a/packages/desk/src/job_service.ts
+++ b/packages/desk/src/job_service.ts
@@ -1,10 +1,10 @@
-import { type Clock, WAIT_OVER } from "@laburnumtrack/core/clock";
+import type { Clock } from "@laburnumtrack/core/clock";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
+import { generateRandomId } from "@laburnumtrack/core/ids";
 import type { Table } from "@laburnumtrack/core/table";
 import type { Job } from "@laburnumtrack/jobs/job";
 import {
   encodeClosedJobRow,
-  encodeOpenJobRow,
   type JobRow,
   jobKey,
   readJobRow,
@@ -17,6 +17,9 @@
   type JobState,
 } from "@laburnumtrack/jobs/job_state";
 import { Err, Ok, type Result } from "ts-results";
+import { Submission, type SubmitOutcome } from "./submission";
+import { UnresolvedJobs } from "./unresolved_jobs";
+import { waitAtMost } from "./wait_at_most";
 
 /** Options of a job service. */
 export interface JobServiceOptions {
@@ -26,14 +29,6 @@
   readonly isTableReachable: () => boolean;
 }
 
-/** Outcome of a successful submission. */
-export enum SubmitOutcome {
-  /** The job was stored. */
-  Stored = "stored",
-  /** A job with this id had been stored before, or by an earlier try. */
-  Known = "known",
-}
-
 /** Pause before the first retry, in ms; it doubles with each one. */
 const FIRST_RETRY_PAUSE_MS = 40;
 /** Longest pause before a retry, in ms. */
@@ -47,35 +42,43 @@
  */
 export class JobService {
   readonly #options: JobServiceOptions;
+  readonly #unresolved: UnresolvedJobs;
 
   constructor(options: JobServiceOptions) {
     this.#options = options;
+    this.#unresolved = new UnresolvedJobs(options.clock);
   }
 
   /**
-   * Stores a job exactly once; `deadlineMs` is monotonic. `StoreUnavailable`
-   * and `RateLimited` mean that it is not stored and never will be,
-   * `OutcomeUnknown` that it may be stored now or later.
+   * Stores a job exactly once; `deadlineMs` is monotonic. `StoreUnavailable`,
+   * `RateLimited` and `NotStored` mean that it is not stored and never will be
+   * by this submission, `OutcomeUnknown` that it may be stored now or later.
    */
   async submit(
     job: Job,
     deadlineMs: number,
   ): Promise<Result<SubmitOutcome, Fault>> {
-    const transaction = {
-      checks: [{ key: jobKey(job.id), revision: 0 }],
-      writes: [{ key: jobKey(job.id), value: encodeOpenJobRow(job) }],
-    };
-    let isUncertain = false;
-    const outcome = await this.#retry(deadlineMs, async () => {
-      const done = await this.#options.table.commit(transaction);
-      if (done.ok) return Ok(SubmitOutcome.Stored);
-      // The row exists: from an earlier try, or from an earlier request.
-      if (done.val.code === FaultCode.Conflict) return Ok(SubmitOutcome.Known);
-      if (done.val.code === FaultCode.OutcomeUnknown) isUncertain = true;
-      return done;
+    const { clock, table, isTableReachable } = this.#options;
+    const mayBeStored = this.#unresolved.has(job.id);
+    // Nothing is sent, so the caller can try another entry VM immediately.
+    if (!mayBeStored && !isTableReachable()) {
+      return Err(new Fault(FaultCode.StoreUnavailable));
+    }
+    this.#unresolved.add(job.id);
+    const submission = new Submission({
+      clock,
+      table,
+      job,
+      submission: generateRandomId(),
+      deadlineMs,
+      maxRejectedMs: MAX_REJECTED_RETRY_MS,
+      mayBeStored,
     });
-    if (outcome.ok || !isUncertain) return outcome;
-    return Err(new Fault(FaultCode.OutcomeUnknown, job.id));
+    const result = await submission.run();
+    const isUnknown =
+      result.err && result.val.code === FaultCode.OutcomeUnknown;
+    if (!isUnknown) this.#unresolved.delete(job.id);
+    return result;
   }
 
   /** Phase of a job; `NotFound` when no job has this id. */
@@ -131,7 +134,12 @@
     const [row] = read.val;
     if (row === undefined) return Err(new Fault(FaultCode.NotFound, id));
     const { revision } = row;
-    return readJobRow(row).map((value) => ({ value, revision }));
+    const value = readJobRow(row);
+    if (value.err) return value;
+    // A tombstone stands for submissions that were refused, not for a job.
+    return value.val.refusal === undefined
+      ? Ok({ value: value.val, revision })
+      : Err(new Fault(FaultCode.NotFound, id));
   }
 
   /**
@@ -164,13 +172,9 @@
     operation: () => Promise<Result<T, Fault>>,
   ): Promise<Result<T, Fault>> {
     const { clock } = this.#options;
-    const settled = new AbortController();
-    const timeout = clock
-      .sleep(deadlineMs - clock.nowMs(), settled.signal)
-      .then(() => Err(new Fault(FaultCode.OutcomeUnknown)));
-    const outcome = await Promise.race([operation(), timeout]);
-    settled.abort(WAIT_OVER);
-    return outcome;
+    const leftMs = deadlineMs - clock.nowMs();
+    const outcome = await waitAtMost(clock, operation(), leftMs);
+    return outcome ?? Err(new Fault(FaultCode.OutcomeUnknown));
   }
 }
 
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -55,6 +55,20 @@
   readonly job: Job | undefined;
   /** Whether a caller cancelled it. */
   readonly isCancelled: boolean;
+  /** Defined if no job is stored: the row is a tombstone. */
+  readonly refusal?: Refusal | undefined;
+}
+
+/**
+ * Tombstone of submissions that were refused after a commit without an answer:
+ * that commit fails as long as the row exists. A later submission of the job
+ * replaces it.
+ */
+export interface Refusal {
+  /** Unix ms at which it was written. */
+  readonly atMs: number;
+  /** Submissions that must not store the job any more, the latest last. */
+  readonly submissions: readonly string[];
 }
 
 /** Encodes the row of a submitted job. */
@@ -71,13 +85,21 @@
   return encode({ job: undefined, isCancelled });
 }
 
+/** Encodes the tombstone of refused submissions. */
+export function encodeRefusedJobRow(refusal: Refusal): string {
+  return encode({ job: undefined, isCancelled: false, refusal });
+}
+
 function encode(row: JobRow): string {
   return JSON.stringify(row);
 }
 
 /** Parses a job's row. Fault: `Malformed`. */
 export function readJobRow(row: Pick<Row, "value">): Result<JobRow, Fault> {
-  return parse<JobRow>(row.value, { isCancelled: isBoolean });
+  return parse<JobRow>(row.value, {
+    isCancelled: isBoolean,
+    refusal: (value) => value === undefined || isRefusal(value),
+  });
 }
 
 /** Parses the row of a job's state. Fault: `Malformed`. */
@@ -176,6 +198,14 @@
   return Number.isFinite(value);
 }
 
+function isRefusal(value: unknown): boolean {
+  if (!isObject(value)) return false;
+  const { atMs, submissions } = value as Record<string, unknown>;
+  return (
+    isNumber(atMs) && Array.isArray(submissions) && submissions.every(isText)
+  );
+}
+
 function isWorkerRuns(value: unknown): boolean {
   if (!isObject(value)) return false;
   const { bornMs, runs, leaseLeftMs } = value as Record<string, unknown>;
--- a/packages/jobs/src/job_rows_test.ts
+++ b/packages/jobs/src/job_rows_test.ts
@@ -42,6 +42,16 @@
     valid: { isCancelled: false },
     malformed: [{ isCancelled: null }, { isCancelled: "no" }],
   },
+  {
+    name: "a tombstone of refused submissions",
+    read: readJobRow,
+    valid: { isCancelled: false, refusal: { atMs: 5, submissions: ["a"] } },
+    malformed: [
+      { refusal: null },
+      { refusal: { atMs: "5", submissions: [] } },
+      { refusal: { atMs: 5, submissions: [1] } },
+    ],
+  },
   {
     name: "a state",
     read: readState,
--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -131,7 +131,9 @@
       this.#onMalformed(row.key, read.val.message);
       return;
     }
-    const { job, isCancelled } = read.val;
+    const { job, isCancelled, refusal } = read.val;
+    // No job is stored; a later submission may replace the row.
+    if (refusal !== undefined) return;
     if (isCancelled) this.#onCancelled(id);
     if (job === undefined) board.onClosed(id);
     if (job === undefined || board.jobs.has(id)) return;
--- /dev/null
+++ b/packages/leader/src/job_intake_test.ts
@@ -0,0 +1,68 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Job } from "@laburnumtrack/jobs/job";
+import { JobBoard } from "@laburnumtrack/jobs/job_board";
+import {
+  encodeOpenJobRow,
+  encodeRefusedJobRow,
+  jobKey,
+} from "@laburnumtrack/jobs/job_rows";
+import { createStep } from "@laburnumtrack/jobs/test_samples";
+import { createJournal } from "@laburnumtrack/process/journal";
+import { Metrics } from "@laburnumtrack/process/metrics";
+import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
+import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
+import { JobIntake } from "./job_intake";
+import { RowCloser } from "./row_closer";
+
+const JOB: Job = {
+  id: "00000000000000aa",
+  queue: "q",
+  spec: "",
+  steps: [createStep()],
+  repeat: undefined,
+  submittedMs: 0,
+};
+
+// Guards against a tombstone that counts as the closed row of a job: runs of the
+// job that replaces it could be stopped as runs of a job that is over.
+test("job intake: a tombstone is no job, and the job that replaces it is added", async () => {
+  const clock = new VirtualClock();
+  const table = new FeedTableStandin(clock);
+  const closed: string[] = [];
+  const board = new JobBoard(
+    {
+      onChanged: () => {},
+      onStop: () => {},
+      onEnd: () => {},
+      onLoss: () => {},
+    },
+    { runFloor: 0, allJobsKnownMs: 0 },
+  );
+  board.onClosed = (id) => closed.push(id);
+  const intake = new JobIntake({
+    clock,
+    table,
+    journal: createJournal("test", "fatal"),
+    metrics: new Metrics(),
+    board,
+    closer: new RowCloser({ clock, table }),
+    config: () => ({ version: 1, queues: [], pools: [] }),
+    minRevision: 0,
+    onBoardChanged: () => {},
+  });
+  const read = async () => {
+    const loaded = intake.follower.load();
+    await clock.run(clock.nowMs() + 100);
+    assert.ok(await loaded);
+  };
+  const key = jobKey(JOB.id);
+  const refusal = { atMs: 0, submissions: ["earlier"] };
+  table.writeAsOperator(key, encodeRefusedJobRow(refusal));
+  await read();
+  assert.deepEqual([...board.jobs.keys()], []);
+  assert.deepEqual(closed, []);
+  table.writeAsOperator(key, encodeOpenJobRow(JOB));
+  await read();
+  assert.deepEqual([...board.jobs.keys()], [JOB.id]);
+});
