feat(planning): stop less urgent runs where an urgent step would be late

In a full pool, an urgent step with tasks of 7.5 cores waits until a worker happens to have that much free: each run of 7 cores that ends is followed by the next one in the same round.

Room stays held until the ends are reported, as stopped runs count until then, or until 1.5 s have passed. Victims resume from their checkpoints at the front of their queue, are left alone for 5 s and more, and take at most 10% of a pool's cores each second. `planStarts` has a hook for this, `PlanningAid`; without it, it plans as before.

The stand-in for workers can now stop slowly, report progress in percent and resume from a checkpoint (`stop`, `progress` in a task's spec).

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -3,11 +3,16 @@
 import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { encodeOpenJobRow, jobKey } from "@laburnumtrack/jobs/job_rows";
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
-import { type QueueConfig, settingsOf } from "@laburnumtrack/jobs/queue_config";
+import {
+  type Queue,
+  type QueueConfig,
+  settingsOf,
+} from "@laburnumtrack/jobs/queue_config";
 import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
 import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
 import { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import { LeaderElection } from "@laburnumtrack/leader/leader_election";
+import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
@@ -42,9 +47,11 @@
   readonly workerIds?: readonly string[];
   /** Decodes the entries of workers; by default, each key names a worker. */
   readonly registry?: WorkerRegistry;
+  /** Parts of planning that are turned on; none by default. */
+  readonly planning?: PlanningFeatures;
 }
 
-const QUEUE = {
+const QUEUE: Queue = {
   name: "q",
   host: "h",
   pathPrefix: "/q/",
@@ -85,6 +92,7 @@
   readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
+  readonly #planning: PlanningFeatures | undefined;
   #processCount = 0;
 
   constructor({
@@ -95,6 +103,7 @@
     rightMs = DEFAULT_RIGHT_MS,
     workerIds = [],
     registry = new RegistryStandin(),
+    planning,
   }: EntryWorldOptions) {
     const ids = Array.from(
       { length: workers },
@@ -104,6 +113,7 @@
     this.#capacities = capacities;
     this.#leaseMs = leaseMs;
     this.#rightMs = rightMs;
+    this.#planning = planning;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -129,8 +139,9 @@
     id: string,
     spec: string,
     steps: Partial<Step>[],
+    queue = QUEUE,
   ): Promise<void> {
-    const job = this.#createJob(id, spec, steps);
+    const job = this.#createJob(id, spec, steps, queue);
     this.#jobIds.push(id);
     const done = this.#desk.submit(job, this.clock.nowMs() + SUBMIT_TIMEOUT_MS);
     await this.advance(SUBMIT_TIMEOUT_MS / 10);
@@ -253,11 +264,16 @@
     await this.table.commit({ checks: [], writes: [{ key, value }] });
   }
 
-  #createJob(id: string, spec: string, steps: Partial<Step>[]): Job {
+  #createJob(
+    id: string,
+    spec: string,
+    steps: Partial<Step>[],
+    queue = QUEUE,
+  ): Job {
     return {
       id,
-      queue: QUEUE.name,
-      queueSettings: settingsOf(QUEUE),
+      queue: queue.name,
+      queueSettings: settingsOf(queue),
       spec,
       steps: steps.map((step) => createStep({ ...STEP_DEFAULTS, ...step })),
       repeat: undefined,
@@ -280,6 +296,7 @@
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
+      planning: this.#planning,
       member: name,
       instance: `${name}/${this.#processCount}`,
       capacity,
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -328,6 +328,13 @@
       defaultText: "500",
       help: "Time that a task takes to resume from its checkpoint.",
     },
+    {
+      key: "preemption",
+      kind: FieldKind.Choice,
+      choices: ["false", "true"],
+      defaultText: "false",
+      help: "Whether less urgent runs are stopped where urgent steps would be late.",
+    },
     {
       key: "processor_share",
       kind: FieldKind.Decimal,
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -32,6 +32,8 @@
   /** It is so late that its result has no value any more. */
   readonly isExpired: boolean;
   readonly priority: number;
+  /** A task of it was stopped for others and waits to resume. */
+  readonly isResuming: boolean;
   /** It misses its objective even if it starts now. */
   readonly willMissObjective: boolean;
   /** Unix ms by which the job should complete. */
@@ -39,7 +41,11 @@
 }
 
 /** Returns the rank of a job at the given time. */
-export function rankJob(record: JobRecord, wallMs: number): JobRank {
+export function rankJob(
+  record: JobRecord,
+  wallMs: number,
+  isResuming = false,
+): JobRank {
   const objective = objectiveMs(record);
   const fromMs = firstMs(record.job);
   return {
@@ -50,6 +56,7 @@
     isExpired:
       !isLongRunning(record.job) && wallMs > fromMs + EXPIRY_FACTOR * objective,
     priority: record.queue?.priority ?? Number.MAX_SAFE_INTEGER,
+    isResuming,
     willMissObjective: willMissObjective(record, wallMs),
     deadlineMs: fromMs + objective,
   };
@@ -94,6 +101,7 @@
     Number(b.isInterrupted) - Number(a.isInterrupted) ||
     Number(a.isExpired) - Number(b.isExpired) ||
     a.priority - b.priority ||
+    Number(b.isResuming) - Number(a.isResuming) ||
     Number(a.willMissObjective) - Number(b.willMissObjective) ||
     a.deadlineMs - b.deadlineMs
   );
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -12,6 +12,7 @@
 import { hasAttempts } from "./job_record";
 import { isFinal } from "./job_state";
 import { PlacementFailures } from "./placement_failures";
+import type { PlanningAid } from "./planning_aid";
 import { isRoomFree, releaseRoom, reserveRoom } from "./reservations";
 import { StepCandidates } from "./step_candidates";
 import { chooseForSuspect, needsIsolation } from "./suspect_placement";
@@ -46,6 +47,8 @@
   /** Maximum number of starts in this round. */
   readonly limit: number;
   readonly model: InterferenceModel;
+  /** Plans beyond what is free now; undefined: only free room counts. */
+  readonly aid?: PlanningAid | undefined;
 }
 
 /**
@@ -124,10 +127,13 @@
   }
   const poolName = stepRun.record.queue?.pool ?? "";
   const hasOwnRoom = waiting.some(isRoomFree);
-  for (const task of waiting) releaseRoom(task);
+  for (const task of waiting) {
+    if (!options.aid?.isHeld(task)) releaseRoom(task);
+  }
   const candidates = createCandidates(plan, hasOwnRoom);
   if (candidates === undefined) {
     reserveForInterrupted(plan, waiting);
+    reportUnplaced(plan, waiting);
     return;
   }
   for (const task of waiting) {
@@ -142,8 +148,11 @@
         plan.placementFailures.add(poolName, stepRun.step, costLimit);
       }
       reserveForInterrupted(plan, waiting);
+      reportUnplaced(plan, waiting);
       return;
     }
+    // Room that is held for it elsewhere is not needed any more.
+    releaseRoom(task);
     const run = task.lastRun + 1;
     plan.starts.push(board.onSent(task, run, worker, options.nowMs));
     stepRun.idleSinceMs = undefined;
@@ -151,6 +160,20 @@
   }
 }
 
+/** Tells the planning aid which tasks of a step found no room. */
+function reportUnplaced(
+  { stepRun, pool, options }: StepPlan,
+  waiting: readonly Task[],
+): void {
+  const { aid } = options;
+  if (aid === undefined) return;
+  const tasks = waiting.filter(
+    (task) => task.attempts.length === 0 && !aid.isHeld(task),
+  );
+  if (tasks.length === 0) return;
+  aid.onUnplaced({ stepRun, tasks, workers: pool.workers });
+}
+
 /** Reserves room for long-running tasks that were at work before. */
 function reserveForInterrupted(
   { stepRun, pool }: StepPlan,
@@ -196,9 +219,10 @@
 /** Starts all tasks of a gang in one round, or none. */
 function planGang(
   board: JobBoard,
-  { stepRun, pool, starts, options }: StepPlan,
+  plan: StepPlan,
   waiting: readonly Task[],
 ): void {
+  const { stepRun, pool, starts, options } = plan;
   for (const task of waiting) releaseRoom(task);
   const open = stepRun.tasks.filter((task) => !task.isDone);
   if (waiting.length < open.length) return;
@@ -218,6 +242,7 @@
       for (const attempt of planned) {
         board.onRefused(attempt, Number.NEGATIVE_INFINITY);
       }
+      reportUnplaced(plan, waiting);
       return;
     }
     task.checkpoint = checkpoint ?? "";
@@ -255,11 +280,14 @@
   return reservedMilli > capacityMilli * BUSY_FRACTION;
 }
 
-function rankJobs(board: JobBoard, { wallMs }: PlanOptions): JobRecord[] {
+function rankJobs(board: JobBoard, { wallMs, aid }: PlanOptions): JobRecord[] {
   const ranked: { record: JobRecord; rank: JobRank }[] = [];
   for (const record of board.jobs.values()) {
     if (isFinal(record.phase)) continue;
-    ranked.push({ record, rank: rankJob(record, wallMs) });
+    ranked.push({
+      record,
+      rank: rankJob(record, wallMs, aid?.isResuming(record)),
+    });
   }
   ranked.sort((a, b) => compareRanks(a.rank, b.rank));
   return ranked.map(({ record }) => record);
--- /dev/null
+++ b/packages/leader/src/planned_rounds.ts
@@ -0,0 +1,76 @@
+import type { Clock } from "@laburnumtrack/core/clock";
+import type { JobBoard } from "@laburnumtrack/jobs/job_board";
+import type { PlanOptions } from "@laburnumtrack/jobs/start_planner";
+import type { Attempt } from "@laburnumtrack/jobs/task";
+import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import type { Preempting } from "@laburnumtrack/planning/preemption";
+import {
+  NO_FEATURES,
+  type PlanningFeatures,
+  RoundPlanner,
+} from "@laburnumtrack/planning/round_planner";
+import type { Journal } from "@laburnumtrack/process/journal";
+import type { Metrics } from "@laburnumtrack/process/metrics";
+
+/** Options of {@linkcode PlannedRounds}. */
+export interface PlannedRoundsOptions {
+  readonly clock: Clock;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  readonly board: JobBoard;
+  readonly planning?: PlanningFeatures | undefined;
+  /** Time that a task takes to resume from its checkpoint, in ms. */
+  readonly restoreMs: number;
+  /** Monotonic ms at which the leadership was acquired. */
+  readonly acquiredMs: number;
+  /** Revision above which no former leader stopped runs of a job. */
+  readonly newJobsAbove: number;
+}
+
+/** Plans rounds of starts and carries out the stops that they need. */
+export class PlannedRounds {
+  readonly #options: PlannedRoundsOptions;
+  readonly #planner: RoundPlanner;
+
+  constructor(options: PlannedRoundsOptions) {
+    this.#options = options;
+    this.#planner = new RoundPlanner({
+      ...options,
+      features: options.planning ?? NO_FEATURES,
+      origin: { startMs: options.acquiredMs, revision: options.newJobsAbove },
+    });
+    options.metrics.gauge("held_rooms", () => this.#planner.holds.size);
+  }
+
+  /** Plans a round, requests its stops, and returns the starts to be sent. */
+  plan(options: PlanOptions): readonly Attempt[] {
+    const { starts, preempting } = this.#planner.plan(options);
+    for (const one of preempting) this.#preempt(one);
+    return starts;
+  }
+
+  /** Learns from a report of the worker that was applied to the board. */
+  onReport(worker: WorkerRecord): void {
+    this.#planner.onReport(worker, this.#options.clock.nowMs());
+  }
+
+  #preempt({ stepRun, places, victims, slackMs }: Preempting): void {
+    const { journal, metrics, board } = this.#options;
+    metrics.count("preemptions");
+    metrics.count("preempted_runs", victims.length);
+    journal.info("Room is held for a step, for which less urgent runs stop.", {
+      job: stepRun.record.job.id,
+      step: stepRun.number,
+      places,
+      slackMs: Math.round(slackMs),
+      victims: victims.map(describeVictim),
+    });
+    for (const victim of victims) board.stop(victim, "preempted");
+  }
+}
+
+function describeVictim({ task, run, worker, percent }: Attempt): string {
+  const { record, occurrence, number } = task.stepRun;
+  const name = `${record.job.id}.${occurrence}.${number}.${task.index}`;
+  return `${name} run ${run} on ${worker.id} at ${percent}%`;
+}
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -6,20 +6,19 @@
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
-import {
-  type PlanningState,
-  planStarts,
-} from "@laburnumtrack/jobs/start_planner";
+import type { PlanningState } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt } from "@laburnumtrack/jobs/task";
 import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
+import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { BackgroundTasks } from "./background_tasks";
 import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
+import { PlannedRounds } from "./planned_rounds";
 import { type HeldLeadership, ProgressStore } from "./progress_store";
 import { RowCloser } from "./row_closer";
 import { RunMonitor } from "./run_monitor";
@@ -47,6 +46,8 @@
   readonly leaderLeaseMs: number;
   /** Time that a task takes to resume from its checkpoint, in ms. */
   readonly restoreMs: number;
+  /** Parts of planning that the deployment turns on; none by default. */
+  readonly planning?: PlanningFeatures | undefined;
   readonly succession: Succession;
 }
 
@@ -116,6 +117,7 @@
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
+  readonly #plannedRounds: PlannedRounds;
   readonly #startDelayLog: StartDelayLog;
   readonly #suspectStarts: SuspectStarts;
   readonly #planSignal: Signal;
@@ -155,6 +157,16 @@
       board: this.#board,
       sendPace: (attempt, percent) => this.#workers.sendPace(attempt, percent),
     });
+    this.#plannedRounds = new PlannedRounds({
+      ...options,
+      board: this.#board,
+      acquiredMs: start.acquiredMs,
+      // Until former leaders may not send orders any more, they may stop runs.
+      newJobsAbove:
+        start.formerRightMs === 0
+          ? start.held.revision
+          : Number.POSITIVE_INFINITY,
+    });
     this.#intake = new JobIntake({
       ...options,
       board: this.#board,
@@ -334,7 +346,10 @@
           this.#planSignal.set();
           this.#progress.wake();
         },
-        onReport: (worker) => this.#runMonitor.onReport(worker),
+        onReport: (worker) => {
+          this.#runMonitor.onReport(worker);
+          this.#plannedRounds.onReport(worker);
+        },
       },
     });
   }
@@ -424,7 +439,7 @@
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
     const limit = maxUnanswered - this.#workers.unansweredStarts;
     if (limit <= 0) return;
-    const starts = planStarts(this.#board, {
+    const starts = this.#plannedRounds.plan({
       ...this.#planningState(),
       limit,
       model: this.#runMonitor.model,
--- /dev/null
+++ b/packages/planning/src/round_planner.ts
@@ -0,0 +1,105 @@
+import type { JobBoard } from "@laburnumtrack/jobs/job_board";
+import {
+  PlanningAid,
+  type UnplacedStep,
+} from "@laburnumtrack/jobs/planning_aid";
+import {
+  type PlanOptions,
+  planStarts,
+} from "@laburnumtrack/jobs/start_planner";
+import type { Attempt, JobRecord, Task } from "@laburnumtrack/jobs/task";
+import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import { RoundOutlook } from "./pool_outlook";
+import { type Preempting, Preemption } from "./preemption";
+import { RoomHolds } from "./room_holds";
+import { StopRules, type TermOrigin } from "./stop_rules";
+import { Timeline } from "./timeline";
+
+/** Parts of planning that a deployment turns on. */
+export interface PlanningFeatures {
+  /** Less urgent runs are stopped where urgent steps miss their objectives. */
+  readonly isPreempting: boolean;
+}
+
+/** Starts are planned from what is free at the moment. */
+export const NO_FEATURES: PlanningFeatures = { isPreempting: false };
+
+/** Options of {@linkcode RoundPlanner}. */
+export interface RoundPlannerOptions {
+  readonly board: JobBoard;
+  readonly features: PlanningFeatures;
+  /** Time that a task takes to resume from its checkpoint, in ms. */
+  readonly restoreMs: number;
+  readonly origin: TermOrigin;
+}
+
+/** What is to be done after a planning round. */
+export interface RoundPlan {
+  readonly starts: readonly Attempt[];
+  /** Runs to stop for more urgent steps. */
+  readonly preempting: readonly Preempting[];
+}
+
+/** Plans starts, and what it takes to make room for them. */
+export class RoundPlanner extends PlanningAid {
+  readonly timeline = new Timeline();
+  readonly holds = new RoomHolds();
+  readonly rules: StopRules;
+  readonly #options: RoundPlannerOptions;
+  readonly #preemption: Preemption;
+
+  constructor(options: RoundPlannerOptions) {
+    super();
+    this.#options = options;
+    this.rules = new StopRules(options.origin);
+    this.#preemption = new Preemption({
+      holds: this.holds,
+      rules: this.rules,
+      restoreMs: options.restoreMs,
+    });
+  }
+
+  /** Learns from a report of the worker that was applied to the board. */
+  onReport(worker: WorkerRecord, nowMs: number): void {
+    if (this.#isIdle) return;
+    this.timeline.onReport(worker, nowMs);
+  }
+
+  /** Plans a round; the starts are recorded on the board. */
+  plan(options: PlanOptions): RoundPlan {
+    const { board } = this.#options;
+    if (this.#isIdle) {
+      return { starts: planStarts(board, options), preempting: [] };
+    }
+    const { nowMs, limit } = options;
+    const outlook = new RoundOutlook(this.timeline, nowMs);
+    this.holds.sweep(nowMs);
+    this.#preemption.begin({ ...options, outlook });
+    const ready = this.holds.startReady(board, options);
+    const others = planStarts(board, {
+      ...options,
+      limit: limit - ready.length,
+      aid: this,
+    });
+    return {
+      starts: [...ready, ...others],
+      preempting: this.#preemption.end(),
+    };
+  }
+
+  override isHeld(task: Task): boolean {
+    return this.holds.isHeld(task);
+  }
+
+  override isResuming(record: JobRecord): boolean {
+    return this.#preemption.isResuming(record);
+  }
+
+  override onUnplaced(unplaced: UnplacedStep): void {
+    this.#preemption.onUnplaced(unplaced);
+  }
+
+  get #isIdle(): boolean {
+    return !this.#options.features.isPreempting;
+  }
+}
--- a/packages/planning/src/timeline.ts
+++ b/packages/planning/src/timeline.ts
@@ -73,15 +73,16 @@
     const { stepRun } = attempt.task;
     if (stepRun.step.isLongRunning || attempt.pacePercent <= 0) return NEVER;
     const measured = this.percentPerMs(attempt);
+    const leftPercent = Math.min(100, Math.max(0, 100 - attempt.percent));
     if (measured !== undefined) {
-      const leftMs = (100 - attempt.percent) / measured;
+      const leftMs = leftPercent / measured;
       const endMs = attempt.progressMs + leftMs;
       return bound(endMs, leftMs * MEASURED_ERROR, nowMs);
     }
     const speed = this.speeds.speedOf(attempt.worker, nowMs);
     const fullMs = this.durationMs(stepRun) / speed;
     if (!(fullMs > 0)) return NEVER;
-    const leftMs = fullMs * (1 - attempt.percent / 100);
+    const leftMs = (fullMs * leftPercent) / 100;
     const sinceMs =
       attempt.percent > 0
         ? attempt.progressMs
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -40,6 +40,9 @@
   readonly record: RunRecord;
   readonly resources: Resources;
   readonly isInGang: boolean;
+  readonly work: Work;
+  /** Work in ms that earlier runs have saved. */
+  readonly resumedMs: number;
 }
 
 interface WorkerState {
@@ -82,6 +85,10 @@
   readonly crashStep: number | undefined;
   /** Whether the tasks of each step are a gang, which ends with a member. */
   readonly isGang: boolean;
+  /** Whether runs report their progress, save it and resume from it. */
+  readonly hasProgress: boolean;
+  /** Time that a run takes to stop, in ms. */
+  readonly stopMs: number;
 }
 
 /** Duration of a call, in ms. */
@@ -206,7 +213,7 @@
       const key = taskKey(task);
       const active = worker.runs.get(key);
       if (active !== undefined && active.record.run <= run) {
-        this.#end(worker, active, RunEnd.Stopped);
+        this.#stopRun(worker, active);
       }
       recordEndedRun(worker, key, run);
       return Ok(undefined);
@@ -250,11 +257,11 @@
     return Ok({
       clockMs: this.#clock.nowMs() - worker.bornMs,
       bornMs: worker.bornMs,
-      running: [...worker.runs.values()].map(({ name, record }) => ({
-        task: name,
-        run: record.run,
+      running: [...worker.runs.values()].map((run) => ({
+        task: run.name,
+        run: run.record.run,
         checkpoint: "",
-        percent: Math.round(this.#clock.nowMs() - record.startMs),
+        percent: this.#percentOf(run),
         measurement: 0,
       })),
       ended: [...worker.unacknowledgedEnds],
@@ -262,6 +269,14 @@
     });
   }
 
+  /** Progress of a run in percent, if it reports any, else a value that grows. */
+  #percentOf({ work, record, resumedMs }: ActiveRun): number {
+    const workedMs = this.#clock.nowMs() - record.startMs;
+    if (!work.hasProgress) return Math.round(workedMs);
+    const share = (resumedMs + workedMs) / work.workMs;
+    return Math.min(99, Math.round(share * 100));
+  }
+
   #startNow(id: string, order: StartOrder): Result<StartReply, Fault> {
     const worker = this.#stateOf(id);
     const nowMs = this.#clock.nowMs();
@@ -291,6 +306,8 @@
       name: order.task,
       record,
       isInGang: work.isGang,
+      work,
+      resumedMs: work.hasProgress ? Number(order.checkpoint) : 0,
       resources: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
     };
     worker.runs.set(key, run);
@@ -305,7 +322,7 @@
   ): Promise<void> {
     const { workMs, failures } = work;
     const { startMs } = run.record;
-    const endMs = startMs + workMs;
+    const endMs = startMs + workMs - run.resumedMs;
     const key = taskKey(run.name);
     const { index, step } = run.name;
     const { crashIndex = index, crashStep = step } = work;
@@ -335,6 +352,18 @@
     this.#end(worker, run, shouldFail ? RunEnd.Failed : RunEnd.Done);
   }
 
+  #stopRun(worker: WorkerState, run: ActiveRun): void {
+    const { stopMs } = run.work;
+    if (stopMs === 0) {
+      this.#end(worker, run, RunEnd.Stopped);
+      return;
+    }
+    void this.#clock.sleep(stopMs).then(() => {
+      const isActive = worker.runs.get(taskKey(run.name)) === run;
+      if (isActive) this.#end(worker, run, RunEnd.Stopped);
+    });
+  }
+
   /** Ends the other runs of a gang that lost a member. */
   #breakGang({ name }: ActiveRun): void {
     for (const worker of this.#workers.values()) {
@@ -359,7 +388,9 @@
       task: run.name,
       run: run.record.run,
       end,
-      checkpoint: "",
+      checkpoint: run.work.hasProgress
+        ? `${run.resumedMs + this.#clock.nowMs() - run.record.startMs}`
+        : "",
     });
   }
 
@@ -456,6 +487,8 @@
     crashIndex: numberIn(params, "index"),
     crashStep: numberIn(params, "step"),
     isGang: params.has("gang"),
+    hasProgress: params.has("progress"),
+    stopMs: Number(params.get("stop") ?? 0),
   };
 }
 
