--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -5,7 +5,11 @@
 import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { encodeOpenJobRow, jobKey } from "@laburnumtrack/jobs/job_rows";
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
-import { type QueueConfig, settingsOf } from "@laburnumtrack/jobs/queue_config";
+import {
+  type Queue,
+  type QueueConfig,
+  settingsOf,
+} from "@laburnumtrack/jobs/queue_config";
 import type { RegisteredWorker, RunEnd } from "@laburnumtrack/jobs/task_worker";
 import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
 import {
@@ -13,6 +17,7 @@
   WorkerRegistry,
 } from "@laburnumtrack/jobs/worker_registry";
 import { LeaderElection } from "@laburnumtrack/leader/leader_election";
+import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
@@ -51,9 +56,11 @@
   readonly registry?: WorkerRegistry;
   /** Time limit of evacuations in ms; requests are ignored by default. */
   readonly evacuateMs?: number;
+  /** Parts of planning that are turned on; none by default. */
+  readonly planning?: PlanningFeatures;
 }
 
-const QUEUE = {
+const QUEUE: Queue = {
   name: "q",
   host: "h",
   pathPrefix: "/q/",
@@ -95,6 +102,7 @@
   readonly #leaseMs: number;
   readonly #rightMs: number;
   readonly #evacuateMs: number;
+  readonly #planning: PlanningFeatures | undefined;
   #processCount = 0;
 
   constructor({
@@ -106,6 +114,7 @@
     workerIds = [],
     registry = new RegistryStandin(),
     evacuateMs = 0,
+    planning,
   }: EntryWorldOptions) {
     const ids = Array.from(
       { length: workers },
@@ -116,6 +125,7 @@
     this.#leaseMs = leaseMs;
     this.#rightMs = rightMs;
     this.#evacuateMs = evacuateMs;
+    this.#planning = planning;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -141,14 +151,20 @@
     id: string,
     spec: string,
     steps: Partial<Step>[],
+    queue = QUEUE,
   ): Promise<void> {
-    this.submitNow(id, spec, steps);
+    this.submitNow(id, spec, steps, queue);
     await this.advance(SUBMIT_TIMEOUT_MS / 10);
   }
 
   /** Submits a job without advancing time. */
-  submitNow(id: string, spec: string, steps: Partial<Step>[]): void {
-    const job = this.#createJob(id, spec, steps);
+  submitNow(
+    id: string,
+    spec: string,
+    steps: Partial<Step>[],
+    queue = QUEUE,
+  ): void {
+    const job = this.#createJob(id, spec, steps, queue);
     this.#jobIds.push(id);
     void this.#desk.submit(job, this.clock.nowMs() + SUBMIT_TIMEOUT_MS);
   }
@@ -279,11 +295,16 @@
     await this.table.commit({ checks: [], writes: [{ key, value }] });
   }
 
-  #createJob(id: string, spec: string, steps: Partial<Step>[]): Job {
+  #createJob(
+    id: string,
+    spec: string,
+    steps: Partial<Step>[],
+    queue = QUEUE,
+  ): Job {
     return {
       id,
-      queue: QUEUE.name,
-      queueSettings: settingsOf(QUEUE),
+      queue: queue.name,
+      queueSettings: settingsOf(queue),
       spec,
       steps: steps.map((step) => createStep({ ...STEP_DEFAULTS, ...step })),
       repeat: undefined,
@@ -319,6 +340,7 @@
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
+      planning: this.#planning,
       member: name,
       instance: `${name}/${this.#processCount}`,
       capacity,
--- a/packages/leader/src/evacuation_guard_test.ts
+++ b/packages/leader/src/evacuation_guard_test.ts
@@ -24,6 +24,7 @@
 import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
 import { Err, Ok, type Result } from "ts-results";
 import { EvacuationGuard } from "./evacuation_guard";
+import { OrderLatency } from "./order_latency";
 import { WorkerLink } from "./worker_link";
 
 const LIMIT_MS = 5000;
@@ -274,6 +275,7 @@
   const link = new WorkerLink(worker, {
     ...options,
     guard,
+    latency: new OrderLatency(0),
     port,
     epoch: 1,
     leaseMs: LEASE_MS,
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -6,14 +6,12 @@
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
-import {
-  type PlanningState,
-  planStarts,
-} from "@laburnumtrack/jobs/start_planner";
+import type { PlanningState } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, Placement, Task } from "@laburnumtrack/jobs/task";
 import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
+import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { describeAttempt } from "./attempt_text";
@@ -23,6 +21,7 @@
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
 import { OrderLatency } from "./order_latency";
+import { PlannedRounds } from "./planned_rounds";
 import { type HeldLeadership, ProgressStore } from "./progress_store";
 import { RowCloser } from "./row_closer";
 import { RunMonitor } from "./run_monitor";
@@ -58,6 +57,8 @@
    * by default, only failed orders are.
    */
   readonly orderResendMs?: number;
+  /** Parts of planning that the deployment turns on; none by default. */
+  readonly planning?: PlanningFeatures | undefined;
   readonly succession: Succession;
 }
 
@@ -129,6 +130,7 @@
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
   readonly #clearance: WorkerClearance;
+  readonly #plannedRounds: PlannedRounds;
   readonly #startDelayLog: StartDelayLog;
   readonly #suspectStarts: SuspectStarts;
   readonly #planSignal: Signal;
@@ -169,6 +171,16 @@
       board: this.#board,
       sendPace: (attempt, percent) => this.#workers.sendPace(attempt, percent),
     });
+    this.#plannedRounds = new PlannedRounds({
+      ...options,
+      board: this.#board,
+      acquiredMs: start.acquiredMs,
+      // Until former leaders may not send orders any more, they may stop runs.
+      newJobsAbove:
+        start.formerRightMs === 0
+          ? start.held.revision
+          : Number.POSITIVE_INFINITY,
+    });
     this.#intake = new JobIntake({
       ...options,
       board: this.#board,
@@ -360,7 +372,10 @@
           this.#planSignal.set();
           this.#progress.wake();
         },
-        onReport: (worker) => this.#runMonitor.onReport(worker),
+        onReport: (worker) => {
+          this.#runMonitor.onReport(worker);
+          this.#plannedRounds.onReport(worker);
+        },
       },
     });
   }
@@ -453,7 +468,7 @@
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
     const limit = maxUnanswered - this.#workers.unansweredStarts;
     if (limit <= 0) return;
-    const starts = planStarts(this.#board, {
+    const starts = this.#plannedRounds.plan({
       ...this.#planningState(),
       limit,
       model: this.#runMonitor.model,
