fix(leader): a lost answer to a renewal does not make a worker unusable

Ends were seen 1.6 s late, the worker got no lease until a commit had listed and unlisted it, and the planner went on choosing it: seven tasks of an urgent step were refused together and planned on the same worker 0.3 s later.

Renewals are sent again once their answer is overdue, without a wait and without acknowledging ends, as the worker may have restarted; silence is what no try gets an answer to. Workers that cannot be granted a lease are not planned on. Without order_resend_ms only the latter applies.

--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -526,6 +526,7 @@
     return (
       worker.isRegistered &&
       worker.hasReported &&
+      worker.canGrantLease &&
       !worker.info.isDraining &&
       this.#guard.mayStartOn(worker) &&
       this.#runMonitor.hasProbeRoom(worker, nowMs) &&
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -268,30 +268,70 @@
   }
 
   async #renew(signal: AbortSignal): Promise<boolean> {
+    const { clock, latency } = this.#options;
+    const waitMs = this.worker.canGrantLease ? this.#waitMs : 0;
+    const { resendDelayMs } = latency;
+    let isFirst = true;
+    let lastFault: Fault | undefined;
+    const { value } = await sendWithResends({
+      clock,
+      maxTries: resendDelayMs === undefined ? 1 : MAX_ORDER_TRIES,
+      resendDelayMs: resendDelayMs && waitMs + resendDelayMs,
+      send: () => {
+        const mayFollow =
+          lastFault === undefined &&
+          !signal.aborted &&
+          this.#options.maySendOrders();
+        // A renewal that failed is repeated by the next round.
+        if (!mayFollow) return undefined;
+        const call = this.#sendRenewal(
+          isFirst
+            ? { acknowledged: this.#acknowledgeable, waitMs }
+            : // Whether the worker has restarted since is not known.
+              { acknowledged: 0, waitMs: 0 },
+        );
+        isFirst = false;
+        return call;
+      },
+      onFault: (fault) => {
+        lastFault = fault;
+      },
+    });
+    if (signal.aborted) return false;
+    if (value === undefined) {
+      this.#restartMs = clock.nowMs();
+      if (lastFault !== undefined) this.#onRenewalFailed(lastFault);
+      return false;
+    }
+    this.#answeredMs = value.sentMs;
+    this.#acknowledgedEnd = value.acknowledged;
+    this.#onReport(value.report, value.sentMs);
+    return true;
+  }
+
+  /** Number up to which ends may be acknowledged to the worker. */
+  get #acknowledgeable(): number {
+    return this.#answeredMs > this.#restartMs ? this.worker.storedEndNumber : 0;
+  }
+
+  async #sendRenewal({
+    acknowledged,
+    waitMs,
+  }: {
+    acknowledged: number;
+    waitMs: number;
+  }) {
     const { clock, port, epoch, metrics } = this.#options;
-    const { worker } = this;
     const sentMs = clock.nowMs();
     const leaseUntilMs = this.#grantLease();
-    const isWithoutLease = leaseUntilMs === undefined;
-    const acknowledged =
-      this.#answeredMs > this.#restartMs ? worker.storedEndNumber : 0;
-    const reply = await port.renew(worker.info, {
+    const reply = await port.renew(this.worker.info, {
       epoch,
       acknowledged,
       leaseUntilMs,
-      waitMs: isWithoutLease ? 0 : this.#waitMs,
+      waitMs: leaseUntilMs === undefined ? 0 : waitMs,
     });
-    if (signal.aborted) return false;
     metrics.count("renewals");
-    if (reply.err) {
-      this.#restartMs = clock.nowMs();
-      this.#onRenewalFailed(reply.val);
-      return false;
-    }
-    this.#answeredMs = sentMs;
-    this.#acknowledgedEnd = acknowledged;
-    this.#onReport(reply.val, sentMs);
-    return true;
+    return reply.map((report) => ({ report, sentMs, acknowledged }));
   }
 
   get #waitMs(): number {
