fix(jobs): a machine that crashes repeatedly is not held against its task

A run that was lost with its worker counted against its task wherever it was lost, so a job was shown as failed because its only machine crashed again and again under it; no run of it had failed (LOST).

MachineCrashes keeps proven crashes by address. Five losses end a job only if they are on at least two machines; three proven crashes just after starts still end it. A task returns to a machine on which it was lost only after the machine was up for 2 s.

--- a/packages/faults/src/crash_cases_test.ts
+++ b/packages/faults/src/crash_cases_test.ts
@@ -204,6 +204,56 @@
   });
 }
 
+interface FaultyMachineCase {
+  readonly name: string;
+  /** Time between two crashes of the machine, in ms. */
+  readonly intervalMs: number;
+  readonly step: Partial<Step>;
+  readonly phase: JobPhase;
+}
+
+const FAULTY_MACHINE_CASES: readonly FaultyMachineCase[] = [
+  {
+    name: "seconds after each start of the task",
+    intervalMs: 6500,
+    step: { count: 1 },
+    phase: JobPhase.Completed,
+  },
+  {
+    name: "under a long-running task",
+    intervalMs: 6500,
+    step: { count: 1, isLongRunning: true },
+    phase: JobPhase.Running,
+  },
+  {
+    name: "as soon as it is back",
+    intervalMs: 2600,
+    step: { count: 1 },
+    phase: JobPhase.Completed,
+  },
+];
+
+for (const { name, intervalMs, step, phase } of FAULTY_MACHINE_CASES) {
+  // Guards against a job that is shown as failed because its only machine crashes.
+  test(`crash: a job is not given up when its machine crashes six times, ${name}`, async () => {
+    const world = createWorld(
+      { restartDelayMs: 2500, isRenamed: true },
+      { entries: 3, workers: 1 },
+    );
+    await world.advance(2000);
+    const workMs = step.isLongRunning ? 1_000_000 : 8000;
+    await world.submit(innocentId(0), `work=${workMs}`, [step]);
+    for (let count = 0; count < 6; count += 1) {
+      await world.advance(count === 0 ? 4000 : intervalMs);
+      world.fleet.crash(count === 0 ? "w0" : `w0+${count}`);
+    }
+    await world.advance(60_000);
+    assert.deepEqual(world.findViolations(), []);
+    assert.deepEqual(await world.readPhases(), [phase]);
+    if (step.isLongRunning) assert.ok(findRunning(world) !== undefined);
+  });
+}
+
 /** The worker that runs a task now. */
 function findRunning(world: EntryWorld): string | undefined {
   return world.fleet.history.find(({ endMs }) => endMs === undefined)?.worker;
--- a/packages/jobs/src/crash_losses.ts
+++ b/packages/jobs/src/crash_losses.ts
@@ -24,6 +24,8 @@
   evidence: LossEvidence;
   /** Whether the worker was lost a while after the start, not just then. */
   isLate: boolean;
+  /** Whether the machine crashes repeatedly without a task that explains it. */
+  isMachineFault?: boolean;
 }
 
 /** What became of a loss. */
@@ -51,6 +53,8 @@
 const MAX_CRASHES = 3;
 /** A task is given up once this many runs are lost. */
 const MAX_LOST_RUNS = 5;
+/** Machines on which they are lost at least. */
+const MIN_MACHINES = 2;
 /** Crashes among them, without which the workers are waited for. */
 const MIN_CRASHES = 2;
 /** How long workers are waited for whose fate is not known, in ms. */
@@ -84,7 +88,8 @@
 
 /** Whether so many runs were lost that the task must not start again. */
 export function isOverLossLimit({ losses }: Task): boolean {
-  return losses.length >= MAX_LOST_RUNS || isProvenLoop(losses);
+  const counted = listCounted(losses);
+  return isOverLimit(counted) || isProvenLoop(counted);
 }
 
 /**
@@ -95,6 +100,8 @@
 export class CrashLosses {
   readonly #listener: LossListener;
   readonly #suspects = new Set<Task>();
+  /** Addresses of machines whose crashes do not count against tasks. */
+  readonly #faultyMachines = new Set<string>();
   /** Tasks that wait until the fate of workers is known. */
   readonly #waits = new Map<Task, FateWait>();
 
@@ -121,7 +128,13 @@
       this.#strengthen(task, known, evidence);
       return;
     }
-    const added = { ...loss, evidence, isLate };
+    const isMachineFault = this.#faultyMachines.has(loss.address);
+    const added = {
+      ...loss,
+      evidence,
+      isLate,
+      ...(isMachineFault ? { isMachineFault } : {}),
+    };
     task.losses.push(added);
     task.lastRun = Math.max(task.lastRun, loss.run);
     this.#suspects.add(task);
@@ -225,6 +238,39 @@
     this.#strengthenAll(({ workerId }) => workerId === id);
   }
 
+  /**
+   * Whether a task explains the crash of a worker: one that was lost on another
+   * machine too, or repeatedly just after its start.
+   */
+  isCrashExplained({ id, info }: WorkerRecord): boolean {
+    for (const { losses } of this.#suspects) {
+      const loss = losses.findLast(({ workerId }) => workerId === id);
+      if (loss === undefined) continue;
+      const isElsewhere = losses.some(
+        ({ address }) => address !== info.address,
+      );
+      const isRepeated = !loss.isLate && losses.length > 1;
+      if (isElsewhere || isRepeated) return true;
+    }
+    return false;
+  }
+
+  /** Notes whether the losses on a machine count against tasks. */
+  setMachineFaulty(address: string, isFaulty: boolean): void {
+    if (!isFaulty) {
+      this.#faultyMachines.delete(address);
+      return;
+    }
+    this.#faultyMachines.add(address);
+    for (const task of this.#suspects) {
+      for (const loss of task.losses) {
+        if (loss.address !== address || loss.isMachineFault) continue;
+        loss.isMachineFault = true;
+        this.#listener.onChanged(task.stepRun.record);
+      }
+    }
+  }
+
   /**
    * Resolves what former leaders left open: workers that could tell have
    * answered by now, so the others were unresponsive.
@@ -250,7 +296,7 @@
   }
 
   #isCrashLoop(task: Task, nowMs: number): boolean {
-    const { losses } = task;
+    const losses = listCounted(task.losses);
     if (isProvenLoop(losses)) return true;
     if (losses.length < MAX_CRASHES) {
       if (this.#waits.delete(task)) task.notBeforeMs = nowMs;
@@ -260,9 +306,9 @@
       return false;
     }
     const crashes = countCrashes(losses);
-    if (crashes === losses.length) return crashes >= MAX_LOST_RUNS;
+    if (crashes === losses.length) return isOverLimit(losses);
     const untilMs = this.#waitFor(task, nowMs);
-    if (losses.length < MAX_LOST_RUNS) return false;
+    if (!isOverLimit(losses)) return false;
     return crashes >= MIN_CRASHES || nowMs >= untilMs;
   }
 
@@ -347,6 +393,26 @@
   );
 }
 
+/**
+ * The losses that count against a task. Those on a faulty machine count as one:
+ * machines may be taken for faulty because several tasks crash them.
+ */
+function listCounted(losses: readonly Loss[]): Loss[] {
+  const faulty = new Set<string>();
+  return losses.filter(({ address, isMachineFault }) => {
+    if (!isMachineFault) return true;
+    const isFirst = !faulty.has(address);
+    faulty.add(address);
+    return isFirst;
+  });
+}
+
+/** Whether so many runs were lost, and not only on one machine. */
+function isOverLimit(losses: readonly Loss[]): boolean {
+  const machines = new Set(losses.map(({ address }) => address));
+  return losses.length >= MAX_LOST_RUNS && machines.size >= MIN_MACHINES;
+}
+
 /** Whether enough workers crashed just after a start of the task. */
 function isProvenLoop(losses: readonly Loss[]): boolean {
   return countCrashes(losses.filter(({ isLate }) => !isLate)) >= MAX_CRASHES;
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -8,6 +8,7 @@
 import type { Job } from "./job";
 import { createJobRecord, findTask } from "./job_record";
 import { isFinal, JobPhase } from "./job_state";
+import { MachineCrashes } from "./machine_crashes";
 import {
   type Attempt,
   AttemptPhase,
@@ -52,6 +53,7 @@
   readonly workers = new Map<string, WorkerRecord>();
   /** Runs that ended with their workers. */
   readonly losses: CrashLosses;
+  readonly machines = new MachineCrashes();
   readonly #listener: BoardListener;
   readonly #options: BoardOptions;
   /** Jobs that are over, according to their rows; they may be unknown. */
@@ -162,6 +164,7 @@
     if (report.bornMs !== worker.bornMs) {
       if (worker.bornMs !== 0) this.#onNewIncarnation(worker, times);
       worker.bornMs = report.bornMs;
+      worker.upSinceMs = times.nowMs;
     }
     worker.silentSinceMs = undefined;
     worker.isReplaced = false;
@@ -238,12 +241,26 @@
    * runs nothing any more if a later one is registered there. Without such an
    * entry, the worker may have moved to another address.
    */
-  onOtherInstance(worker: WorkerRecord): void {
+  onOtherInstance(worker: WorkerRecord, nowMs: number): void {
     this.losses.onReplaced(worker);
     if (worker.isReplaced || !this.#hasSuccessor(worker)) return;
     worker.isReplaced = true;
     this.onLost(worker);
     this.losses.onReplaced(worker);
+    this.#onCrashProven(worker, nowMs);
+  }
+
+  /** Counts a crash, whose losses are recorded, towards its machine's health. */
+  #onCrashProven(worker: WorkerRecord, nowMs: number): void {
+    const { address, isDraining } = worker.info;
+    if (isDraining) return;
+    this.machines.onCrash(address, {
+      nowMs,
+      isExplained: this.losses.isCrashExplained(worker),
+      machineCount: this.workers.size,
+    });
+    const isFaulty = this.machines.isFaulty(address, nowMs);
+    this.losses.setMachineFaulty(address, isFaulty);
   }
 
   /** Whether a worker that was born later is registered at the same address. */
@@ -275,6 +292,7 @@
       const noticedMs = worker.silentSinceMs ?? nowMs;
       this.#detachLost(attempt, LossEvidence.Restarted, noticedMs);
     }
+    this.#onCrashProven(worker, nowMs);
     this.#resetReports(worker);
   }
 
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -192,6 +192,7 @@
     bornMs,
     evidence,
     isLate: stored.isLate === true,
+    ...(stored.isMachineFault === true ? { isMachineFault: true } : {}),
   });
   task.lastRun = Math.max(task.lastRun, run);
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -22,6 +22,8 @@
   readonly evidence: LossEvidence;
   /** Whether the worker was lost a while after the start. */
   readonly isLate: boolean;
+  /** Whether its machine was faulty; missing if it was not known to be. */
+  readonly isMachineFault?: boolean;
 }
 
 /** Where a long-running task was last ordered to start, as stored. */
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -162,9 +162,10 @@
   }
   for (const task of waiting) {
     if (plan.starts.length >= options.limit) return;
-    const worker = chooseForTask(task, candidates, plan.pool);
-    // Others of the step can be placed although one that must be alone cannot.
-    if (worker === undefined && needsIsolation(task)) continue;
+    const worker = chooseForTask(task, candidates, plan.pool, options.nowMs);
+    // Others of the step can be placed although one that must be alone, or wait
+    // for a machine to stay up, cannot.
+    if (worker === undefined && isHeldBack(task, candidates)) continue;
     if (worker === undefined) {
       // `perWorkerLimit` may be the cause, which does not apply to other steps.
       if (stepRun.step.perWorkerLimit === 0) {
@@ -212,14 +213,25 @@
   return new StepCandidates(stepRun, pool.workers, limited);
 }
 
+/** Whether a task does not start although others of its step may. */
+function isHeldBack(task: Task, candidates: StepCandidates): boolean {
+  return (
+    needsIsolation(task) ||
+    (task.losses.length > 0 && candidates.choose() !== undefined)
+  );
+}
+
 /** Avoids workers on which the task failed unless no other worker fits. */
 function chooseForTask(
   task: Task,
   candidates: StepCandidates,
   { workers }: UsablePool,
+  nowMs: number,
 ): WorkerRecord | undefined {
   const { failedOn, losses } = task;
-  if (losses.length > 0) return chooseForSuspect(task, candidates, workers);
+  if (losses.length > 0) {
+    return chooseForSuspect(task, candidates, workers, nowMs);
+  }
   return candidates.choose(failedOn) ?? candidates.choose();
 }
 
@@ -246,7 +258,7 @@
   for (const task of open) {
     const worker =
       task.losses.length > 0
-        ? chooseForSuspect(task, candidates, pool.workers)
+        ? chooseForSuspect(task, candidates, pool.workers, options.nowMs)
         : candidates.choose();
     if (worker === undefined) {
       for (const attempt of planned) {
--- a/packages/jobs/src/suspect_placement.ts
+++ b/packages/jobs/src/suspect_placement.ts
@@ -7,6 +7,11 @@
 const MAX_DEDICATED_FRACTION = 0.25;
 /** Penalty for a worker with another suspect, in tasks at risk. */
 const SUSPECT_PENALTY = 1000;
+/**
+ * Time in ms that a machine on which the task was lost must be up before the task
+ * starts there again: a machine that crashes without it meanwhile is at fault.
+ */
+const MIN_UPTIME_MS = 2000;
 /** Penalty for a machine on which the task was lost or failed. */
 const KNOWN_MACHINE_PENALTY = 100;
 /** Penalty for a long-running task on the worker, besides that for each task. */
@@ -26,11 +31,14 @@
   task: Task,
   candidates: StepCandidates,
   workers: readonly WorkerRecord[],
+  nowMs: number,
 ): WorkerRecord | undefined {
   const isIsolated = needsIsolation(task);
   if (isIsolated && areDedicatedUsedUp(workers)) return undefined;
   return candidates.chooseCheapest((worker) => {
     if (isIsolated && worker.hasSuspect) return undefined;
+    const isFresh = nowMs - worker.upSinceMs < MIN_UPTIME_MS;
+    if (isFresh && wasLostOn(task, worker)) return undefined;
     return riskOn(task, worker);
   });
 }
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -21,6 +21,8 @@
   isListedSilent = false;
   /** Unix ms of the start of the reporting incarnation; 0 before any report. */
   bornMs = 0;
+  /** Monotonic ms at which this incarnation first answered this leader. */
+  upSinceMs = Number.POSITIVE_INFINITY;
   /** Whether it has answered this leader. */
   hasReported = false;
   /**
--- a/packages/leader/src/run_monitor.ts
+++ b/packages/leader/src/run_monitor.ts
@@ -68,10 +68,13 @@
   }
 
   /**
-   * Whether the failures on a worker allow another task there. A worker on
-   * which runs keep failing is set aside, and then probed with a single task.
+   * Whether the failures on a worker, and the crashes of its machine, allow
+   * another task there. A worker on which runs keep failing is set aside, and
+   * then probed with a single task.
    */
   hasProbeRoom(worker: WorkerRecord, nowMs: number): boolean {
+    const { machines } = this.#options.board;
+    if (machines.isQuarantined(worker.info.address, nowMs)) return false;
     const room = this.#health.taskAllowanceOn(worker.id, nowMs);
     if (room === Number.POSITIVE_INFINITY) return true;
     return room > 0 && worker.attempts.size <= worker.serving.size;
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -320,11 +320,11 @@
   }
 
   #onOtherInstance(): void {
-    const { board, journal, onBoardChanged } = this.#options;
+    const { clock, board, journal, onBoardChanged } = this.#options;
     const { worker } = this;
     const { isReplaced, attempts } = worker;
     const attemptCount = attempts.size;
-    board.onOtherInstance(worker);
+    board.onOtherInstance(worker, clock.nowMs());
     if (isReplaced || !worker.isReplaced) return;
     journal.warn(
       "Another worker has taken the place of an unresponsive one; its tasks are started again.",
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -157,7 +157,7 @@
   {
     name: "crash losses: another instance that answers is proof",
     file: "packages/leader/src/worker_link.ts",
-    from: "if (fault.code === FaultCode.OtherInstance) board.losses.onReplaced(worker);",
+    from: "if (fault.code === FaultCode.OtherInstance) this.#onOtherInstance();",
     to: "",
     test: CRASH_CASES,
   },
