fix(leader): no starts on replaced workers, and placements that slow commits store

A replaced worker whose entry stays in the registry for some seconds looked like free room until its last report was 2.2 s old; starts sent there were refused. It is not usable any more.

A long-running task whose start was given up after 1 s of waiting for the table stored its placement anew with the next try, so that with commits of 1.1 s it never started. A placement that the task has already is not stored again, and the next try on the same worker is sent at once.

--- a/packages/faults/src/failover_loss_test.ts
+++ b/packages/faults/src/failover_loss_test.ts
@@ -99,6 +99,52 @@
   assert.equal(gaps.length, 2);
 });
 
+// Guards against starts on a worker that is gone, which look like free room as
+// long as its entry stays in the registry.
+test("failover: a replaced worker gets no tasks while it is still registered", async () => {
+  const world = new EntryWorld({ entries: 1, workers: 2 });
+  const { fleet, clock } = world;
+  fleet.restartDelayMs = 100;
+  fleet.onRestarted = (id, bornMs) => {
+    void world.table.commit({
+      checks: [],
+      writes: [{ key: `workers/${id}+1`, value: `${bornMs}` }],
+    });
+    return `${id}+1`;
+  };
+  await world.advance(2000);
+  await world.submit(JOB_ID, SPEC, [{ ...STEP, perWorkerLimit: 0 }]);
+  await world.advance(2000);
+  fleet.crash("w0");
+  const start = fleet.start.bind(fleet);
+  let lostStarts = 0;
+  fleet.start = (target, order) => {
+    if (target.id === "w0") lostStarts += 1;
+    return start(target, order);
+  };
+  await world.advance(300);
+  lostStarts = 0;
+  await world.submit("00000000000000fb", "work=500", [{ count: 20 }]);
+  await world.advance(END_MS);
+  assert.equal(lostStarts, 0);
+  const lasting = fleet.history.filter(({ task }) => task.startsWith(JOB_ID));
+  const gaps = findLongGaps(lasting, clock.nowMs(), 1000);
+  assert.deepEqual(gaps, []);
+  assert.deepEqual(world.findViolations(), []);
+});
+
+// Guards against long-running tasks that never start, as each try stores another
+// placement for longer than a start may wait.
+test("failover: long-running tasks start while commits are slow", async () => {
+  const world = new EntryWorld({ entries: 1, workers: 3 });
+  await world.advance(2000);
+  world.table.delaysMs.set("e0", 1100);
+  await world.submit(JOB_ID, SPEC, [STEP]);
+  await world.advance(10_000);
+  const active = world.fleet.history.filter(({ endMs }) => endMs === undefined);
+  assert.equal(active.length, 9);
+});
+
 /** Rewrites the leadership row as a version without placements writes it. */
 async function forgetPlacements(world: EntryWorld): Promise<void> {
   const reading = world.table.get([LEADER_KEY]);
--- a/packages/leader/src/suspect_starts.ts
+++ b/packages/leader/src/suspect_starts.ts
@@ -22,8 +22,6 @@
   readonly board: JobBoard;
   /** Whether the last change of a job is stored. */
   readonly isStored: (record: JobRecord) => boolean;
-  /** Stores the state of a job. */
-  readonly store: (record: JobRecord) => void;
   /** Sends the start of an attempt. */
   readonly sendStart: (attempt: Attempt) => void;
 }
@@ -48,13 +46,15 @@
     this.#options = options;
   }
 
-  /** Stores the start, as a possible loss if the task had any, then sends it. */
+  /**
+   * Sends the start once the state of its job is stored, with the start as a
+   * possible loss if the task had any.
+   */
   async send(attempt: Attempt): Promise<void> {
-    const { clock, board, store, isStored, sendStart } = this.#options;
+    const { clock, board, isStored, sendStart } = this.#options;
     const { task } = attempt;
     if (task.losses.length > 0) this.#recordPossibleLoss(attempt);
     const { record } = task.stepRun;
-    store(record);
     const untilMs = clock.nowMs() + MAX_STORE_WAIT_MS;
     while (!isStored(record) && clock.nowMs() < untilMs) {
       await clock.sleep(STORE_POLL_INTERVAL_MS);
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -189,7 +189,6 @@
       ...options,
       board: this.#board,
       isStored: ({ job }) => this.#progress.isStored(job.id),
-      store: (record) => this.#progress.markDirty(record),
       sendStart: (attempt) => this.#workers.sendStart(attempt),
     });
   }
@@ -433,18 +432,26 @@
     if (starts.length === 0) return;
     this.#logStarts(starts);
     for (const attempt of starts) {
-      const { task, worker } = attempt;
+      const { task } = attempt;
       const isPlaced = keepsPlacement(task);
-      if (isPlaced) {
-        const { epoch } = this.#start.held.row;
-        task.placement = { workerId: worker.id, epoch };
-      }
+      if (isPlaced) this.#recordPlacement(attempt);
       if (isPlaced || task.losses.length > 0) {
         this.#background.add(this.#suspectStarts.send(attempt));
       } else this.#workers.sendStart(attempt);
     }
   }
 
+  /** Has the placement of an attempt stored, unless its task has it already. */
+  #recordPlacement({ task, worker }: Attempt): void {
+    const { epoch } = this.#start.held.row;
+    const { placement } = task;
+    const isKnown =
+      placement?.workerId === worker.id && placement.epoch === epoch;
+    if (isKnown) return;
+    task.placement = { workerId: worker.id, epoch };
+    this.#progress.markDirty(task.stepRun.record);
+  }
+
   /** Stops runs on workers that leave, to start their tasks elsewhere. */
   #evacuate(): void {
     const { journal, metrics } = this.#options;
@@ -497,6 +504,7 @@
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
     return (
       worker.isRegistered &&
+      !worker.isReplaced &&
       worker.hasReported &&
       !worker.info.isDraining &&
       this.#runMonitor.hasProbeRoom(worker, nowMs) &&
