--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -220,7 +220,6 @@
       ...options,
       board: this.#board,
       isStored: ({ job }) => this.#progress.isStored(job.id),
-      store: (record) => this.#progress.markDirty(record),
       sendStart: (attempt) => this.#workers.sendStart(attempt),
     });
   }
@@ -476,18 +475,26 @@
     if (starts.length === 0) return;
     this.#logStarts(starts);
     for (const attempt of starts) {
-      const { task, worker } = attempt;
+      const { task } = attempt;
       const isPlaced = keepsPlacement(task);
-      if (isPlaced) {
-        const { epoch } = this.#start.held.row;
-        task.placement = { workerId: worker.id, epoch };
-      }
+      if (isPlaced) this.#recordPlacement(attempt);
       if (isPlaced || task.losses.length > 0) {
         this.#background.add(this.#suspectStarts.send(attempt));
       } else this.#workers.sendStart(attempt);
     }
   }
 
+  /** Has the placement of an attempt stored, unless its task has it already. */
+  #recordPlacement({ task, worker }: Attempt): void {
+    const { epoch } = this.#start.held.row;
+    const { placement } = task;
+    const isKnown =
+      placement?.workerId === worker.id && placement.epoch === epoch;
+    if (isKnown) return;
+    task.placement = { workerId: worker.id, epoch };
+    this.#progress.markDirty(task.stepRun.record);
+  }
+
   /** Which workers and jobs may be planned now. */
   #planningState(): PlanningState {
     const { clock } = this.#options;
@@ -525,6 +532,7 @@
   #isUsable(worker: WorkerRecord, nowMs: number): boolean {
     return (
       worker.isRegistered &&
+      !worker.isReplaced &&
       worker.hasReported &&
       worker.canGrantLease &&
       !worker.info.isDraining &&
