feat(leader): show what evacuations have left and what delays them

Operators could not tell whether an evacuated domain was empty, and what it waited for. The leader counts the runs left in each domain by reason (stops in progress, disruptionLimit, no room, gangs and others), logs them each 5 s until none is left, and shows them in /dump and at the new path /status of entries, which `laburnumtrack status` renders. The histogram evacuation_last_start_ms takes the time from the request to the last confirmed start, 2 s after the time limit; a start after the limit is logged and counted (evacuation_late_starts). Entries that do not lead show the requests that they know.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -31,6 +31,7 @@
   readonly leadership: LeaderElection;
   /** The evacuations that it knows; undefined where they are ignored. */
   readonly evacuations: DomainEvacuations | undefined;
+  readonly metrics: Metrics;
   /** Stops the process gracefully; resolves when leadership is handed over. */
   readonly stop: () => Promise<void>;
 }
@@ -307,13 +308,14 @@
       source: new QueueSourceStandin(),
       evacuations,
     });
+    const metrics = new Metrics();
     const leadership = new LeaderElection({
       clock,
       table,
       registry: this.#registry,
       port: this.fleet.viewOf(name),
       journal,
-      metrics: new Metrics(),
+      metrics,
       config: () => this.config,
       evacuations,
       leaseMs: this.#leaseMs,
@@ -335,6 +337,7 @@
       clock,
       leadership,
       evacuations,
+      metrics,
       stop: async () => {
         abort.abort();
         await running;
--- a/packages/faults/src/evacuation_cases_test.ts
+++ b/packages/faults/src/evacuation_cases_test.ts
@@ -186,6 +186,37 @@
   assert.equal(world.fleet.history.length, 2);
 });
 
+// Guards against operators who cannot tell how far an evacuation is, and against
+// late starts that nobody notices.
+test("evacuation of a failure domain: leader and metrics tell of its progress", async () => {
+  const world = new EntryWorld({
+    entries: 2,
+    workers: 2,
+    workerIds: ["a-0", "b-0"],
+    evacuateMs: EVACUATE_MS,
+  });
+  await world.advance(2500);
+  const step = { count: 2, perWorkerLimit: 1, isLongRunning: true };
+  await world.submit("00000000000000c3", "work=600000", [step]);
+  await world.advance(1000);
+  const requestedMs = world.clock.wallMs();
+  await world.evacuate("a");
+  await world.advance(3000);
+  const [status] = world.leader?.leadership.term?.describeEvacuations() ?? [];
+  assert.ok(status);
+  const { domain, sinceMs, lastStartMs, ...progress } = status;
+  assert.equal(domain, "a");
+  assert.ok(sinceMs >= requestedMs && sinceMs <= requestedMs + 100);
+  assert.equal(lastStartMs, undefined);
+  assert.equal(progress.runs, 1);
+  assert.equal(progress.longRunning, 1);
+  assert.deepEqual(progress.reasons, { no_room: 1 });
+  await world.advance(EVACUATE_MS);
+  const metrics = world.leader?.metrics.render() ?? "";
+  assert.match(metrics, /evacuation_last_start_ms_count 1/);
+  assert.doesNotMatch(metrics, /evacuation_late_starts/);
+});
+
 /** Number of starts on workers with that prefix from a time on. */
 function startsIn(world: EntryWorld, prefix: string, fromMs: number): number {
   return world.fleet.history.filter(
--- a/packages/jobs/src/evacuation.ts
+++ b/packages/jobs/src/evacuation.ts
@@ -1,7 +1,7 @@
 import type { JobBoard } from "./job_board";
 import { isFinal } from "./job_state";
 import { type MigrationOptions, planMigrations } from "./migrations";
-import { isWaiting, listReadySteps } from "./start_planner";
+import { isWaiting, listReadySteps, type PlanningState } from "./start_planner";
 import { type Attempt, AttemptPhase, type StepRun, type Task } from "./task";
 
 /**
@@ -75,7 +75,7 @@
   stepRun: StepRun,
   attempts: readonly Attempt[],
 ): Attempt[] {
-  let away = stepRun.tasks.filter(isAway).length;
+  let away = countAway(stepRun);
   const limit = awayLimitOf(stepRun);
   // Tasks that are away already, and those that hold room, go first.
   const sorted = [...attempts].sort(
@@ -89,6 +89,15 @@
   });
 }
 
+/** Whether no further task of a long-running step may be moved now. */
+export function isAtAwayLimit(stepRun: StepRun): boolean {
+  return countAway(stepRun) >= awayLimitOf(stepRun);
+}
+
+function countAway({ tasks }: StepRun): number {
+  return tasks.filter(isAway).length;
+}
+
 function rankOf(task: Task): number {
   if (isAway(task)) return 0;
   return task.reservedOn === undefined ? 2 : 1;
@@ -117,25 +126,34 @@
   inside: readonly Attempt[],
   options: MigrationOptions,
 ): Attempt[] {
-  const movable = inside.filter(({ task: { stepRun }, percent }) => {
-    const { isCheckpointing, isLongRunning, estimateMs } = stepRun.step;
-    if (!isCheckpointing || isLongRunning) return false;
-    const isEstimated = estimateMs > 0;
-    return !isEstimated || estimateMs * (1 - percent / 100) > MIN_LEFT_MS;
-  });
+  const movable = inside.filter(hasLongLeft);
   if (movable.length === 0) return [];
   const waiting = findWaitingPriorities(board, options);
-  return movable.filter(({ task }) => {
-    const { queue } = task.stepRun.record;
-    const mostUrgent = waiting.get(queue?.pool ?? "");
-    return mostUrgent === undefined || (queue?.priority ?? 0) <= mostUrgent;
-  });
+  return movable.filter((attempt) => !isLessUrgent(attempt, waiting));
+}
+
+/** Whether a run saves checkpoints and has long enough to go to be moved. */
+export function hasLongLeft({ task, percent }: Attempt): boolean {
+  const { isCheckpointing, isLongRunning, estimateMs } = task.stepRun.step;
+  if (!isCheckpointing || isLongRunning) return false;
+  const isEstimated = estimateMs > 0;
+  return !isEstimated || estimateMs * (1 - percent / 100) > MIN_LEFT_MS;
+}
+
+/** Whether more urgent tasks than that of the run wait in its pool. */
+export function isLessUrgent(
+  { task }: Attempt,
+  waiting: ReadonlyMap<string, number>,
+): boolean {
+  const { queue } = task.stepRun.record;
+  const mostUrgent = waiting.get(queue?.pool ?? "");
+  return mostUrgent !== undefined && (queue?.priority ?? 0) > mostUrgent;
 }
 
 /** Priority of the most urgent queue with a waiting task, by pool. */
-function findWaitingPriorities(
+export function findWaitingPriorities(
   board: JobBoard,
-  { nowMs, wallMs, areRunsKnown }: MigrationOptions,
+  { nowMs, wallMs, areRunsKnown }: PlanningState,
 ): Map<string, number> {
   const priorities = new Map<string, number>();
   for (const record of board.jobs.values()) {
--- a/packages/jobs/src/evacuation_test.ts
+++ b/packages/jobs/src/evacuation_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { planEvacuation } from "./evacuation";
+import { StayReason, summarizeEvacuation } from "./evacuation_progress";
 import { InterferenceModel } from "./interference_model";
 import type { Step } from "./job";
 import { JobBoard } from "./job_board";
@@ -273,6 +274,86 @@
   assert.ok(others.includes(reservedOn));
 });
 
+const STAY_CASES: readonly {
+  readonly name: string;
+  readonly step: Partial<Step>;
+  readonly prepare?: (situation: Situation) => void;
+  readonly reasons: Partial<Record<StayReason, number>>;
+}[] = [
+  {
+    name: "tasks wait for those that are away",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    prepare: ({ attempts: [first] }) => {
+      assert.ok(first);
+      first.phase = AttemptPhase.Stopping;
+    },
+    reasons: { [StayReason.Stopping]: 1, [StayReason.DisruptionLimit]: 3 },
+  },
+  {
+    name: "no room elsewhere",
+    step: { ...LONG_RUNNING, disruptionLimit: 1 },
+    reasons: { [StayReason.NoRoom]: 4 },
+  },
+  {
+    name: "a gang",
+    step: { ...CHECKPOINTING, count: 2, isGang: true },
+    reasons: { [StayReason.Gang]: 2 },
+  },
+  {
+    name: "runs without checkpoints",
+    step: { count: 2 },
+    reasons: { [StayReason.EndsByItself]: 2 },
+  },
+  {
+    name: "runs with checkpoints and no room",
+    step: CHECKPOINTING,
+    reasons: { [StayReason.NoRoom]: 1 },
+  },
+  {
+    name: "more urgent tasks wait",
+    step: CHECKPOINTING,
+    prepare: ({ board }) => {
+      addJob(board, "urgent", createStep(), 0);
+    },
+    reasons: { [StayReason.MoreUrgent]: 1 },
+  },
+  {
+    name: "a worker does not answer",
+    step: CHECKPOINTING,
+    prepare: ({ inside }) => {
+      inside.isSilent = true;
+    },
+    reasons: { [StayReason.SilentWorker]: 1 },
+  },
+  {
+    name: "a start is not confirmed",
+    step: CHECKPOINTING,
+    prepare: ({ attempts: [attempt] }) => {
+      assert.ok(attempt);
+      attempt.phase = AttemptPhase.Starting;
+    },
+    reasons: { [StayReason.Starting]: 1 },
+  },
+];
+
+for (const { name, step, prepare, reasons } of STAY_CASES) {
+  // Guards against an evacuation that takes long, and nobody can tell why.
+  test(`evacuation progress: ${name}`, () => {
+    const situation = createSituation(createStep(step), 0);
+    prepare?.(situation);
+    const { board, attempts } = situation;
+    const progress = summarizeEvacuation(board, "d", createOptions());
+    assert.deepEqual(progress, {
+      workers: 1,
+      runs: attempts.length,
+      longRunning: step.isLongRunning ? attempts.length : 0,
+      reasons,
+    });
+    const { runs } = summarizeEvacuation(board, "unknown", createOptions());
+    assert.equal(runs, 0);
+  });
+}
+
 function createOptions() {
   return {
     nowMs: NOW_MS,
--- a/packages/leader/src/evacuation_guard.ts
+++ b/packages/leader/src/evacuation_guard.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "@laburnumtrack/core/clock";
-import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
+import type {
+  DomainEvacuations,
+  Evacuation,
+} from "@laburnumtrack/evacuation/domain_evacuations";
 import { cool, updateColdWorkers } from "@laburnumtrack/jobs/cold_ramp";
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
@@ -35,6 +38,10 @@
 export class EvacuationGuard {
   readonly #options: EvacuationGuardOptions;
   #isOutdated = false;
+  /** Starts that were sent and are not confirmed yet. */
+  readonly #unconfirmed = new Set<Attempt>();
+  /** Monotonic ms of the last confirmed start, by failure domain. */
+  readonly #lastStartsMs = new Map<string, number>();
 
   constructor(options: EvacuationGuardOptions) {
     this.#options = options;
@@ -58,6 +65,35 @@
     return Math.max(MIN_START_WINDOW_MS, limitMs - ageMs - CLOCK_MARGIN_MS);
   }
 
+  /** Notes that a start order is being sent. */
+  onSending(attempt: Attempt): void {
+    if (this.#options.evacuations !== undefined) this.#unconfirmed.add(attempt);
+  }
+
+  /**
+   * Time in ms from the request to the last start in the domain; undefined if
+   * there was none since.
+   */
+  lastStartMsIn({ domain, sinceMs }: Evacuation): number | undefined {
+    this.noteStarts();
+    const lastMs = this.#lastStartsMs.get(domain);
+    if (lastMs === undefined || lastMs <= sinceMs) return undefined;
+    return lastMs - sinceMs;
+  }
+
+  /** Notes the starts that were confirmed since the last call. */
+  noteStarts(): void {
+    for (const attempt of this.#unconfirmed) {
+      const { confirmedMs, task, worker } = attempt;
+      if (confirmedMs !== undefined) {
+        const { failureDomain } = worker.info;
+        const lastMs = this.#lastStartsMs.get(failureDomain) ?? confirmedMs;
+        this.#lastStartsMs.set(failureDomain, Math.max(lastMs, confirmedMs));
+      } else if (task.attempts.includes(attempt)) continue;
+      this.#unconfirmed.delete(attempt);
+    }
+  }
+
   /**
    * Marks the workers whose failure domains are evacuated, and those that are
    * cold, also after an evacuation.
--- a/packages/leader/src/evacuation_guard_test.ts
+++ b/packages/leader/src/evacuation_guard_test.ts
@@ -24,6 +24,7 @@
 import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
 import { Err, Ok, type Result } from "ts-results";
 import { EvacuationGuard } from "./evacuation_guard";
+import { EvacuationLog } from "./evacuation_log";
 import { WorkerLink } from "./worker_link";
 
 const LIMIT_MS = 5000;
@@ -158,6 +159,56 @@
   );
 });
 
+const LAST_START_CASES: readonly {
+  readonly name: string;
+  /** Time from the request to the confirmed start, in ms. */
+  readonly startMs: number;
+  readonly lateStarts: number;
+}[] = [
+  { name: "in time", startMs: 40, lateStarts: 0 },
+  { name: "after the limit", startMs: 5600, lateStarts: 1 },
+];
+
+for (const { name, startMs, lateStarts } of LAST_START_CASES) {
+  // Guards against late starts that nobody notices.
+  test(`evacuation log: the last start in a domain was ${name}`, async () => {
+    const world = createWorld();
+    const { clock, board, evacuations, guard, metrics } = world;
+    const log = new EvacuationLog({
+      clock,
+      board,
+      evacuations,
+      guard,
+      metrics,
+      journal: createJournal("test", "fatal"),
+      planning: () => ({
+        nowMs: clock.nowMs(),
+        wallMs: clock.wallMs(),
+        isUsable: () => true,
+        areRunsKnown: () => true,
+      }),
+    });
+    const over = new AbortController();
+    const running = log.run(over.signal);
+    await clock.run(1000);
+    const [attempt] = plan(world, createStep());
+    assert.ok(attempt);
+    guard.onSending(attempt);
+    evacuations.onChange(REQUEST, true);
+    await clock.run(1000 + startMs);
+    board.onStarted(attempt, clock.nowMs());
+    const [status] = log.describe();
+    assert.equal(status?.lastStartMs, startMs);
+    await clock.run(9000);
+    over.abort();
+    await running;
+    const text = metrics.render();
+    assert.match(text, /evacuation_last_start_ms_count 1/);
+    const [, late = "0"] = /evacuation_late_starts (\d+)/.exec(text) ?? [];
+    assert.equal(Number(late), lateStarts);
+  });
+}
+
 // Guards against workers that take their full load at once after an evacuation.
 test("evacuation guard: workers are cold for a time after an evacuation", async () => {
   const world = createWorld({ coldStartMs: 8000, coldingRate: 0.5 });
@@ -225,6 +276,7 @@
   readonly clock: VirtualClock;
   readonly board: JobBoard;
   readonly guard: EvacuationGuard;
+  readonly metrics: Metrics;
   readonly evacuations: DomainEvacuations;
   readonly feed: { confirmedMs: number; revision: number };
   readonly port: PortStandin;
@@ -299,6 +351,7 @@
     clock,
     board,
     guard,
+    metrics,
     evacuations,
     feed,
     port,
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -19,6 +19,7 @@
 import { describeAttempt } from "./attempt_text";
 import { BackgroundTasks } from "./background_tasks";
 import { EvacuationGuard } from "./evacuation_guard";
+import { EvacuationLog, type EvacuationStatus } from "./evacuation_log";
 import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
@@ -124,6 +125,7 @@
   readonly #runMonitor: RunMonitor;
   readonly #clearance: WorkerClearance;
   readonly #startDelayLog: StartDelayLog;
+  readonly #evacuationLog: EvacuationLog;
   readonly #suspectStarts: SuspectStarts;
   readonly #planSignal: Signal;
   readonly #background: BackgroundTasks;
@@ -198,6 +200,12 @@
       board: this.#board,
       planning: () => this.#planningState(),
     });
+    this.#evacuationLog = new EvacuationLog({
+      ...options,
+      board: this.#board,
+      guard: this.#guard,
+      planning: () => this.#planningState(),
+    });
     this.#suspectStarts = new SuspectStarts({
       ...options,
       board: this.#board,
@@ -273,9 +281,15 @@
     this.#background.add(this.#workers.follower.run(termSignal));
     this.#background.add(this.#awaitSuccessor(termSignal));
     this.#background.add(this.#startDelayLog.run(termSignal));
+    this.#background.add(this.#evacuationLog.run(termSignal));
     await this.#planUntilOver();
   }
 
+  /** The evacuations, with what is left in their failure domains. */
+  describeEvacuations(): EvacuationStatus[] {
+    return this.#evacuationLog.describe();
+  }
+
   /** State of the term, for operators. */
   dump(): object {
     const { jobs, workers } = this.#board;
@@ -283,6 +297,7 @@
       leader: this.#progress.row,
       backlog: this.#progress.backlog,
       isSettled: this.#isSettled,
+      evacuations: this.describeEvacuations(),
       ...this.#runMonitor.model.export(),
       jobs: [...jobs.values()].map((record) => ({
         id: record.job.id,
@@ -294,6 +309,8 @@
         id: worker.id,
         isDraining: worker.info.isDraining,
         isRegistered: worker.isRegistered,
+        isInEvacuation: worker.isInEvacuation,
+        coldness: worker.coldness,
         cpuMilli: worker.cpuMilli,
         fillerMilli: worker.fillerMilli,
         memoryMb: worker.memoryMb,
@@ -434,6 +451,7 @@
     this.#workers.removeDeparted({ isSettled: this.#isSettled });
     this.#intake.applyConfig();
     this.#guard.checkAge();
+    this.#guard.noteStarts();
     if (!this.#leaderLease.isValid) return;
     this.#guard.markWorkers();
     this.#guard.stopOpenStarts();
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -150,6 +150,7 @@
       if (leaseUntilMs === undefined) break;
       const { task, run } = attempt;
       const sentMs = clock.nowMs();
+      guard.onSending(attempt);
       const reply = await port.start(this.worker.info, {
         task: taskNameOf(task),
         run,
--- a/packages/operator/src/operator.ts
+++ b/packages/operator/src/operator.ts
@@ -16,12 +16,14 @@
   laburnumtrack diff PATH...      show what applying the files would change
   laburnumtrack apply PATH...     apply the files as a new version
   laburnumtrack status            show services, jobs, workers, members, refusals
+                                  or, asked at an entry, its evacuations
   laburnumtrack explain NAME      show why a workload waits and where it ran
   laburnumtrack dump ADDRESS      show the state of one process
 
   PATH is an INI file, or a directory whose *.ini files are read.
 
-  --scheduler ADDRESSES  admin addresses of schedulers, separated by commas;
+  --scheduler ADDRESSES  admin addresses of schedulers or, for status and dump,
+                         of entries, separated by commas;
                          the first reachable one is used
                          [default: LABURNUMTRACK_SCHEDULER]
   --token-file FILE      file with the operator token
--- a/packages/operator/src/state_commands.ts
+++ b/packages/operator/src/state_commands.ts
@@ -4,12 +4,18 @@
 import { Err, Ok, type Result } from "ts-results";
 import { AdminClient, type AdminResponse } from "./admin_client";
 import { type Command, print, printError } from "./command";
+import { isEntryStatus, renderEntryStatus } from "./entry_status_text";
 import { renderTable } from "./table_text";
 
-/** `status`: prints services, jobs, workers and members. */
+/**
+ * `status`: prints services, jobs, workers and members, or the evacuations that
+ * an entry knows.
+ */
 export async function statusCommand(command: Command): Promise<ExitStatus> {
   return await printState(command, "/status", (body) =>
-    renderStatus(body as SystemStatus),
+    isEntryStatus(body)
+      ? renderEntryStatus(body)
+      : renderStatus(body as SystemStatus),
   );
 }
 
