fix(leader): give start orders 2 s at most while evacuations are enabled

An order could take effect up to evacuate_ms after the last confirmation of the requests. That left no room for reads of the table that lag: the feed may show a change seconds after it was acknowledged. A leader gives up an order or repeats it after less than 1 s, so a later start is of no use; the latest start is now 2,000 ms after the order was sent, or earlier if the requests were not confirmed for long.

Also, at most 64 runs with checkpoints are moved at the same time, since more would only wait for their starts, and a job that has waited for 10 s keeps no less urgent run in the domain, as no worker may have room for it.

Ran evacuation_test, the tests of leader and the evacuation cases: 76 passed. With 6,000 ms the case of late orders fails, without the two limits one case each.

--- a/packages/jobs/src/evacuation.ts
+++ b/packages/jobs/src/evacuation.ts
@@ -10,6 +10,16 @@
  * done again.
  */
 const MIN_LEFT_MS = 3000;
+/**
+ * Most runs with checkpoints that are on their way at the same time: more would
+ * only wait for their starts.
+ */
+const MAX_OPEN_MOVES = 64;
+/**
+ * Time after which a waiting job keeps no run in the domain any more, in ms: it
+ * may be one that no worker has room for.
+ */
+const MAX_WAIT_MS = 10_000;
 /**
  * Largest share of the tasks of a long-running step that is away at the same
  * time if the step names no limit.
@@ -129,7 +139,24 @@
   const movable = inside.filter(hasLongLeft);
   if (movable.length === 0) return [];
   const waiting = findWaitingPriorities(board, options);
-  return movable.filter((attempt) => !isLessUrgent(attempt, waiting));
+  const chosen = movable.filter((attempt) => !isLessUrgent(attempt, waiting));
+  const isBegun = ({ task }: Attempt) => task.reservedOn !== undefined;
+  const next = chosen.filter((attempt) => !isBegun(attempt));
+  return [
+    ...chosen.filter(isBegun),
+    ...next.slice(0, Math.max(0, MAX_OPEN_MOVES - countOpenMoves(board))),
+  ];
+}
+
+/** Number of tasks with checkpoints for which room is held. */
+function countOpenMoves(board: JobBoard): number {
+  let count = 0;
+  for (const { reservations } of board.workers.values()) {
+    for (const { stepRun } of reservations) {
+      if (!stepRun.step.isLongRunning) count += 1;
+    }
+  }
+  return count;
 }
 
 /** Whether a run saves checkpoints and has long enough to go to be moved. */
@@ -161,11 +188,13 @@
     if (queue === undefined || isFinal(record.phase)) continue;
     const known = priorities.get(queue.pool) ?? Number.POSITIVE_INFINITY;
     if (queue.priority >= known || !areRunsKnown(record)) continue;
-    const isAnyWaiting = listReadySteps(record, wallMs).some(({ tasks }) =>
-      // Room is held back for the others already.
-      tasks.some(
-        (task) => task.reservedOn === undefined && isWaiting(task, nowMs),
-      ),
+    const isAnyWaiting = listReadySteps(record, wallMs).some(
+      ({ tasks, idleSinceMs }) =>
+        nowMs - (idleSinceMs ?? nowMs) <= MAX_WAIT_MS &&
+        // Room is held back for the others already.
+        tasks.some(
+          (task) => task.reservedOn === undefined && isWaiting(task, nowMs),
+        ),
     );
     if (isAnyWaiting) priorities.set(queue.pool, queue.priority);
   }
--- a/packages/leader/src/evacuation_guard.ts
+++ b/packages/leader/src/evacuation_guard.ts
@@ -28,6 +28,12 @@
  * estimates of workers' clocks, in ms.
  */
 const CLOCK_MARGIN_MS = 300;
+/**
+ * Longest time that a start order has to reach its worker, in ms. The leader has
+ * given up on a later one, and the rest of the limit is left for reads of the
+ * table that lag.
+ */
+const MAX_START_WINDOW_MS = 2000;
 /**
  * Shortest time that a start order has to reach its worker, in ms, however old
  * the known evacuations are: work must not wait for a table that is slow.
@@ -62,7 +68,8 @@
     const { evacuations } = this.#options;
     if (evacuations === undefined) return Number.POSITIVE_INFINITY;
     const { limitMs, ageMs } = evacuations;
-    return Math.max(MIN_START_WINDOW_MS, limitMs - ageMs - CLOCK_MARGIN_MS);
+    const leftMs = limitMs - ageMs - CLOCK_MARGIN_MS;
+    return Math.min(MAX_START_WINDOW_MS, Math.max(MIN_START_WINDOW_MS, leftMs));
   }
 
   /** Notes that a start order is being sent. */
