--- a/packages/jobs/src/evacuation.ts
+++ b/packages/jobs/src/evacuation.ts
@@ -1,7 +1,7 @@
 import type { JobBoard } from "./job_board";
 import { isFinal } from "./job_state";
 import { type MigrationOptions, planMigrations } from "./migrations";
-import { isWaiting, listReadySteps } from "./start_planner";
+import { isWaiting, listReadySteps, type PlanningState } from "./start_planner";
 import { type Attempt, AttemptPhase, type StepRun, type Task } from "./task";
 
 /**
@@ -10,6 +10,16 @@
  * done again.
  */
 const MIN_LEFT_MS = 3000;
+/**
+ * Most runs with checkpoints that are on their way at the same time: more would
+ * only wait for their starts.
+ */
+const MAX_OPEN_MOVES = 64;
+/**
+ * Time after which a waiting job keeps no run in the domain any more, in ms: it
+ * may be one that no worker has room for.
+ */
+const MAX_WAIT_MS = 10_000;
 /**
  * Largest share of the tasks of a long-running step that is away at the same
  * time if the step names no limit.
@@ -75,7 +85,7 @@
   stepRun: StepRun,
   attempts: readonly Attempt[],
 ): Attempt[] {
-  let away = stepRun.tasks.filter(isAway).length;
+  let away = countAway(stepRun);
   const limit = awayLimitOf(stepRun);
   // Tasks that are away already, and those that hold room, go first.
   const sorted = [...attempts].sort(
@@ -89,6 +99,15 @@
   });
 }
 
+/** Whether no further task of a long-running step may be moved now. */
+export function isAtAwayLimit(stepRun: StepRun): boolean {
+  return countAway(stepRun) >= awayLimitOf(stepRun);
+}
+
+function countAway({ tasks }: StepRun): number {
+  return tasks.filter(isAway).length;
+}
+
 function rankOf(task: Task): number {
   if (isAway(task)) return 0;
   return task.reservedOn === undefined ? 2 : 1;
@@ -117,25 +136,51 @@
   inside: readonly Attempt[],
   options: MigrationOptions,
 ): Attempt[] {
-  const movable = inside.filter(({ task: { stepRun }, percent }) => {
-    const { isCheckpointing, isLongRunning, estimateMs } = stepRun.step;
-    if (!isCheckpointing || isLongRunning) return false;
-    const isEstimated = estimateMs > 0;
-    return !isEstimated || estimateMs * (1 - percent / 100) > MIN_LEFT_MS;
-  });
+  const movable = inside.filter(hasLongLeft);
   if (movable.length === 0) return [];
   const waiting = findWaitingPriorities(board, options);
-  return movable.filter(({ task }) => {
-    const { queue } = task.stepRun.record;
-    const mostUrgent = waiting.get(queue?.pool ?? "");
-    return mostUrgent === undefined || (queue?.priority ?? 0) <= mostUrgent;
-  });
+  const chosen = movable.filter((attempt) => !isLessUrgent(attempt, waiting));
+  const isBegun = ({ task }: Attempt) => task.reservedOn !== undefined;
+  const next = chosen.filter((attempt) => !isBegun(attempt));
+  return [
+    ...chosen.filter(isBegun),
+    ...next.slice(0, Math.max(0, MAX_OPEN_MOVES - countOpenMoves(board))),
+  ];
+}
+
+/** Number of tasks with checkpoints for which room is held. */
+function countOpenMoves(board: JobBoard): number {
+  let count = 0;
+  for (const { reservations } of board.workers.values()) {
+    for (const { stepRun } of reservations) {
+      if (!stepRun.step.isLongRunning) count += 1;
+    }
+  }
+  return count;
+}
+
+/** Whether a run saves checkpoints and has long enough to go to be moved. */
+export function hasLongLeft({ task, percent }: Attempt): boolean {
+  const { isCheckpointing, isLongRunning, estimateMs } = task.stepRun.step;
+  if (!isCheckpointing || isLongRunning) return false;
+  const isEstimated = estimateMs > 0;
+  return !isEstimated || estimateMs * (1 - percent / 100) > MIN_LEFT_MS;
+}
+
+/** Whether more urgent tasks than that of the run wait in its pool. */
+export function isLessUrgent(
+  { task }: Attempt,
+  waiting: ReadonlyMap<string, number>,
+): boolean {
+  const { queue } = task.stepRun.record;
+  const mostUrgent = waiting.get(queue?.pool ?? "");
+  return mostUrgent !== undefined && (queue?.priority ?? 0) > mostUrgent;
 }
 
 /** Priority of the most urgent queue with a waiting task, by pool. */
-function findWaitingPriorities(
+export function findWaitingPriorities(
   board: JobBoard,
-  { nowMs, wallMs, areRunsKnown }: MigrationOptions,
+  { nowMs, wallMs, areRunsKnown }: PlanningState,
 ): Map<string, number> {
   const priorities = new Map<string, number>();
   for (const record of board.jobs.values()) {
@@ -143,11 +188,13 @@
     if (queue === undefined || isFinal(record.phase)) continue;
     const known = priorities.get(queue.pool) ?? Number.POSITIVE_INFINITY;
     if (queue.priority >= known || !areRunsKnown(record)) continue;
-    const isAnyWaiting = listReadySteps(record, wallMs).some(({ tasks }) =>
-      // Room is held back for the others already.
-      tasks.some(
-        (task) => task.reservedOn === undefined && isWaiting(task, nowMs),
-      ),
+    const isAnyWaiting = listReadySteps(record, wallMs).some(
+      ({ tasks, idleSinceMs }) =>
+        nowMs - (idleSinceMs ?? nowMs) <= MAX_WAIT_MS &&
+        // Room is held back for the others already.
+        tasks.some(
+          (task) => task.reservedOn === undefined && isWaiting(task, nowMs),
+        ),
     );
     if (isAnyWaiting) priorities.set(queue.pool, queue.priority);
   }
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -17,6 +17,7 @@
 import { describeAttempt } from "./attempt_text";
 import { BackgroundTasks } from "./background_tasks";
 import { EvacuationGuard } from "./evacuation_guard";
+import { EvacuationLog, type EvacuationStatus } from "./evacuation_log";
 import { FormerLeases } from "./former_leases";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
@@ -132,6 +133,7 @@
   readonly #clearance: WorkerClearance;
   readonly #plannedRounds: PlannedRounds;
   readonly #startDelayLog: StartDelayLog;
+  readonly #evacuationLog: EvacuationLog;
   readonly #suspectStarts: SuspectStarts;
   readonly #planSignal: Signal;
   readonly #background: BackgroundTasks;
@@ -216,6 +218,12 @@
       board: this.#board,
       planning: () => this.#planningState(),
     });
+    this.#evacuationLog = new EvacuationLog({
+      ...options,
+      board: this.#board,
+      guard: this.#guard,
+      planning: () => this.#planningState(),
+    });
     this.#suspectStarts = new SuspectStarts({
       ...options,
       board: this.#board,
@@ -291,9 +299,15 @@
     this.#background.add(this.#workers.follower.run(termSignal));
     this.#background.add(this.#awaitSuccessor(termSignal));
     this.#background.add(this.#startDelayLog.run(termSignal));
+    this.#background.add(this.#evacuationLog.run(termSignal));
     await this.#planUntilOver();
   }
 
+  /** The evacuations, with what is left in their failure domains. */
+  describeEvacuations(): EvacuationStatus[] {
+    return this.#evacuationLog.describe();
+  }
+
   /** State of the term, for operators. */
   dump(): object {
     const { jobs, workers } = this.#board;
@@ -301,6 +315,7 @@
       leader: this.#progress.row,
       backlog: this.#progress.backlog,
       isSettled: this.#isSettled,
+      evacuations: this.describeEvacuations(),
       ...this.#runMonitor.model.export(),
       jobs: [...jobs.values()].map((record) => ({
         id: record.job.id,
@@ -312,6 +327,8 @@
         id: worker.id,
         isDraining: worker.info.isDraining,
         isRegistered: worker.isRegistered,
+        isInEvacuation: worker.isInEvacuation,
+        coldness: worker.coldness,
         cpuMilli: worker.cpuMilli,
         fillerMilli: worker.fillerMilli,
         memoryMb: worker.memoryMb,
@@ -456,6 +473,7 @@
     this.#workers.removeDeparted({ isSettled: this.#isSettled });
     this.#intake.applyConfig();
     this.#guard.checkAge();
+    this.#guard.noteStarts();
     if (!this.#leaderLease.isValid) return;
     this.#guard.markWorkers();
     this.#guard.stopOpenStarts();
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -161,6 +161,7 @@
         if (leaseUntilMs === undefined) return undefined;
         const { task, run } = attempt;
         const sentMs = clock.nowMs();
+        guard.onSending(attempt);
         const call = port.start(this.worker.info, {
           task: taskNameOf(task),
           run,
