feat(desk): forward calls to entries that the table serves

An entry that the table rejected or did not answer refused submissions, cancels and status requests with 503 or 504 although the table served other entries. The other entry runs the same submission with the time that is left and forwards nothing. A forwarded call without an answer counts as a commit with unknown outcome; it carries the submission's id, so it stops at a tombstone of that submission.

--- a/packages/config/src/queue_config_watcher.ts
+++ b/packages/config/src/queue_config_watcher.ts
@@ -93,6 +93,11 @@
     return this.#follower.isLoaded && !this.#follower.isTableUnavailable;
   }
 
+  /** Time in ms for which the table has not answered this process; 0 if it does. */
+  get tableOutageMs(): number {
+    return this.#follower.outageMs;
+  }
+
   /** Follows the configuration until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     await this.#follower.run(signal);
--- a/packages/desk/src/job_service.ts
+++ b/packages/desk/src/job_service.ts
@@ -17,7 +17,11 @@
   type JobState,
 } from "@laburnumtrack/jobs/job_state";
 import { Err, Ok, type Result } from "ts-results";
+import { ForwardPath } from "./desk_peer";
+import type { Forwarder } from "./forwarder";
+import { Route, RouteChoice } from "./route_choice";
 import { Submission, type SubmitOutcome } from "./submission";
+import { TableAccess } from "./table_access";
 import { UnresolvedJobs } from "./unresolved_jobs";
 import { waitAtMost } from "./wait_at_most";
 
@@ -27,6 +31,29 @@
   readonly table: Table;
   /** Whether the table was reachable from this process when last tried. */
   readonly isTableReachable: () => boolean;
+  /** Undefined if calls are not forwarded to other entries. */
+  readonly forwarder?: Forwarder | undefined;
+  /** Shared by all services of a process; by default its own. */
+  readonly unresolved?: UnresolvedJobs;
+}
+
+/** Options of {@linkcode JobService.submit} for a submission of another entry. */
+export interface ForwardedSubmission {
+  /** Identifies the submission, which the other entry may also run itself. */
+  readonly submission: string;
+  /** Whether the other entry may have stored the job. */
+  readonly mayBeStored: boolean;
+}
+
+/** A call that can be repeated, here and at other entries. */
+interface Operation<T> {
+  /** Carries it out by calls to the table. */
+  readonly call: () => Promise<Result<T, Fault>>;
+  readonly path: ForwardPath.Cancel | ForwardPath.Phase;
+  /** Id of the job that it concerns. */
+  readonly id: string;
+  /** Decodes the value that another entry returned. */
+  readonly decode: (value: string) => Result<T, Fault>;
 }
 
 /** Pause before the first retry, in ms; it doubles with each one. */
@@ -36,6 +63,11 @@
 /** Time for which a call that the table rejects is retried, in ms. */
 const MAX_REJECTED_RETRY_MS = 1200;
 
+/** Wait for the table before another entry is asked, in ms. */
+const TABLE_ANSWER_WAIT_MS = 600;
+/** Wait for another entry before the next one is asked, in ms. */
+const PEER_ANSWER_WAIT_MS = 800;
+
 /**
  * Submits and cancels jobs for callers, and reads their phases. It needs only
  * the table and no leader, so every entry VM can serve callers.
@@ -43,10 +75,12 @@
 export class JobService {
   readonly #options: JobServiceOptions;
   readonly #unresolved: UnresolvedJobs;
+  readonly #access: TableAccess;
 
   constructor(options: JobServiceOptions) {
     this.#options = options;
-    this.#unresolved = new UnresolvedJobs(options.clock);
+    this.#access = new TableAccess(options.clock, options.isTableReachable);
+    this.#unresolved = options.unresolved ?? new UnresolvedJobs(options.clock);
   }
 
   /**
@@ -57,21 +91,22 @@
   async submit(
     job: Job,
     deadlineMs: number,
+    forwarded?: ForwardedSubmission,
   ): Promise<Result<SubmitOutcome, Fault>> {
-    const { clock, table, isTableReachable } = this.#options;
-    const mayBeStored = this.#unresolved.has(job.id);
-    // Nothing is sent, so the caller can try another entry VM immediately.
-    if (!mayBeStored && !isTableReachable()) {
-      return Err(new Fault(FaultCode.StoreUnavailable));
-    }
+    const { clock, table, forwarder } = this.#options;
+    const mayBeStored =
+      forwarded?.mayBeStored === true || this.#unresolved.has(job.id);
     this.#unresolved.add(job.id);
     const submission = new Submission({
       clock,
       table,
+      access: this.#access,
+      forwarder,
       job,
-      submission: generateRandomId(),
+      submission: forwarded?.submission ?? generateRandomId(),
       deadlineMs,
-      maxRejectedMs: MAX_REJECTED_RETRY_MS,
+      // The other entry tries the next one sooner than the table recovers.
+      maxRejectedMs: forwarded === undefined ? MAX_REJECTED_RETRY_MS : 0,
       mayBeStored,
     });
     const result = await submission.run();
@@ -86,7 +121,7 @@
     id: string,
     deadlineMs: number,
   ): Promise<Result<JobPhase, Fault>> {
-    return await this.#retry(deadlineMs, async () => {
+    const call = async (): Promise<Result<JobPhase, Fault>> => {
       const state = await this.#readState(id);
       if (state.err) return state;
       const phase = state.val?.phase;
@@ -97,7 +132,9 @@
       if (row.ok && row.val.value.isCancelled) return Ok(JobPhase.Cancelled);
       if (phase !== undefined) return Ok(phase);
       return row.map(() => JobPhase.Queued);
-    });
+    };
+    const path = ForwardPath.Phase;
+    return await this.#retry(deadlineMs, { path, id, call, decode: readPhase });
   }
 
   /**
@@ -105,7 +142,7 @@
    * no job has this id.
    */
   async cancel(id: string, deadlineMs: number): Promise<Result<void, Fault>> {
-    return await this.#retry(deadlineMs, async () => {
+    const call = async (): Promise<Result<void, Fault>> => {
       const row = await this.#readRow(id);
       if (row.err) return row;
       const { value, revision } = row.val;
@@ -116,7 +153,10 @@
         writes: [{ key, value: encodeClosedJobRow({ isCancelled: true }) }],
       });
       return done.ok ? Ok(undefined) : done;
-    });
+    };
+    const path = ForwardPath.Cancel;
+    const decode = () => Ok(undefined);
+    return await this.#retry(deadlineMs, { path, id, call, decode });
   }
 
   async #readState(id: string): Promise<Result<JobState | undefined, Fault>> {
@@ -143,19 +183,26 @@
   }
 
   /**
-   * Retries an operation until its outcome is certain or the deadline is near.
+   * Retries an operation, here or at other entries, until its outcome is certain
+   * or the deadline is near.
    */
   async #retry<T>(
     deadlineMs: number,
-    operation: () => Promise<Result<T, Fault>>,
+    operation: Operation<T>,
   ): Promise<Result<T, Fault>> {
-    const { clock, isTableReachable } = this.#options;
-    // Nothing was sent, so the caller can try another entry VM immediately.
-    if (!isTableReachable()) return Err(new Fault(FaultCode.StoreUnavailable));
+    const { clock, forwarder } = this.#options;
+    const routes = new RouteChoice({ access: this.#access, forwarder });
     const startMs = clock.nowMs();
     let pauseMs = FIRST_RETRY_PAUSE_MS;
+    let outcome: Result<T, Fault> = Err(new Fault(FaultCode.StoreUnavailable));
     for (;;) {
-      const outcome = await this.#withDeadline(deadlineMs, operation);
+      const route = routes.next({ isTableNeeded: false });
+      // Nothing is sent, so the caller can try another entry VM immediately.
+      if (route === undefined) return outcome;
+      const isForwarded = route === Route.Peer;
+      outcome = isForwarded
+        ? await this.#forward(deadlineMs, operation, routes)
+        : await this.#callTable(deadlineMs, operation, routes);
       if (outcome.ok || !isRetryable(outcome.val)) return outcome;
       const limitMs = isRejection(outcome.val)
         ? Math.min(deadlineMs, startMs + MAX_REJECTED_RETRY_MS)
@@ -166,6 +213,50 @@
     }
   }
 
+  async #callTable<T>(
+    deadlineMs: number,
+    { call }: Operation<T>,
+    routes: RouteChoice,
+  ): Promise<Result<T, Fault>> {
+    const { clock, forwarder } = this.#options;
+    const canForward = forwarder?.canForward(routes.tried) ?? false;
+    // A read or cancel that is carried out twice does no harm.
+    const limitMs = canForward
+      ? Math.min(deadlineMs, clock.nowMs() + TABLE_ANSWER_WAIT_MS)
+      : deadlineMs;
+    const outcome = await this.#withDeadline(limitMs, call);
+    const isFailed =
+      outcome.err &&
+      (isRejection(outcome.val) ||
+        outcome.val.code === FaultCode.OutcomeUnknown);
+    if (isFailed) this.#access.onFailed();
+    else {
+      this.#access.onServed();
+      routes.onTableServed();
+    }
+    return outcome;
+  }
+
+  async #forward<T>(
+    deadlineMs: number,
+    { path, id, decode }: Operation<T>,
+    routes: RouteChoice,
+  ): Promise<Result<T, Fault>> {
+    const { clock, forwarder } = this.#options;
+    const limitMs = Math.min(deadlineMs, clock.nowMs() + PEER_ANSWER_WAIT_MS);
+    const timeoutMs = limitMs - clock.nowMs();
+    const answer =
+      (await forwarder?.forward({ path, id }, timeoutMs, routes.tried)) ??
+      Err(new Fault(FaultCode.StoreUnavailable));
+    if (answer.ok) return decode(answer.val);
+    const { code, detail } = answer.val;
+    if (code === FaultCode.PeerUnreachable) {
+      return Err(new Fault(FaultCode.StoreUnavailable, detail));
+    }
+    if (code !== FaultCode.AnswerLost) return answer;
+    return Err(new Fault(FaultCode.OutcomeUnknown, detail));
+  }
+
   /** Gives an operation up at the deadline; its outcome is then unknown. */
   async #withDeadline<T>(
     deadlineMs: number,
@@ -178,6 +269,13 @@
   }
 }
 
+function readPhase(value: string): Result<JobPhase, Fault> {
+  const phase = Object.values(JobPhase).find((known) => known === value);
+  return phase === undefined
+    ? Err(new Fault(FaultCode.OutcomeUnknown, value.slice(0, 80)))
+    : Ok(phase);
+}
+
 function isRetryable({ code }: Fault): boolean {
   return (
     code === FaultCode.Conflict ||
--- a/packages/desk/src/submission.ts
+++ b/packages/desk/src/submission.ts
@@ -9,6 +9,10 @@
   readJobRow,
 } from "@laburnumtrack/jobs/job_rows";
 import { Err, Ok, type Result } from "ts-results";
+import { ForwardPath } from "./desk_peer";
+import type { Forwarder } from "./forwarder";
+import { Route, RouteChoice } from "./route_choice";
+import type { TableAccess } from "./table_access";
 import { waitAtMost } from "./wait_at_most";
 
 /** Outcome of a successful submission. */
@@ -23,6 +27,9 @@
 export interface SubmissionOptions {
   readonly clock: Clock;
   readonly table: Table;
+  readonly access: TableAccess;
+  /** Undefined if the submission is not forwarded. */
+  readonly forwarder: Forwarder | undefined;
   readonly job: Job;
   /** Identifies this submission of the job; others have the same job id. */
   readonly submission: string;
@@ -36,7 +43,10 @@
 
 /** A commit that would store the job, without a definite answer so far. */
 interface OpenCommit {
-  /** Revision of the job's row that the commit requires. */
+  /**
+   * Revision of the job's row that the commit requires; infinity if another entry
+   * sends commits for this submission.
+   */
   readonly base: number;
 }
 
@@ -83,6 +93,7 @@
   /** A row was found by a conflict, or may exist, that was not read. */
   #isRowUnread: boolean;
   readonly #open = new Set<OpenCommit>();
+  readonly #routes: RouteChoice;
   #result: Result<SubmitOutcome, Fault> | undefined;
   /** Resolves when the result is set, also by an answer that came late. */
   readonly #settled: Promise<void>;
@@ -92,6 +103,7 @@
     this.#options = options;
     this.#key = jobKey(options.job.id);
     this.#isRowUnread = options.mayBeStored;
+    this.#routes = new RouteChoice(options);
     this.#settled = new Promise((resolve) => {
       this.#onSettled = resolve;
     });
@@ -108,14 +120,20 @@
     let pauseMs = FIRST_RETRY_PAUSE_MS;
     let fault = new Fault(FaultCode.StoreUnavailable);
     while (clock.nowMs() < deadlineMs) {
-      const call = this.#send().then((done) => {
+      const route = this.#routes.next({ isTableNeeded: this.#isUncertain });
+      if (route === undefined) break;
+      const send = route === Route.Peer ? this.#forward() : this.#commit();
+      const call = send.then((done) => {
         if (done instanceof Fault) fault = done;
         return done === Progress.RowRead ? Progress.RowRead : Progress.Failed;
       });
       const progress = await this.#wait(call, ANSWER_WAIT_MS);
       if (this.#result !== undefined) return this.#result;
-      // Only the answer may be lost; an absent row proves nothing, however.
-      if (progress === undefined) void this.#readRow();
+      if (progress === undefined && route === Route.Table) {
+        this.#options.access.onFailed();
+        // Only the answer may be lost; an absent row proves nothing, however.
+        void this.#readRow();
+      }
       // Without an answer, or with a new row, nothing is gained by a pause.
       if (progress !== Progress.Failed) continue;
       const limitMs = this.#isUncertain
@@ -146,8 +164,8 @@
   }
 
   /** Sends one commit: of the job, or of the tombstone when time runs out. */
-  async #send(): Promise<Progress | Fault> {
-    const { clock, table, deadlineMs, job } = this.#options;
+  async #commit(): Promise<Progress | Fault> {
+    const { clock, table, access, deadlineMs, job } = this.#options;
     const leftMs = deadlineMs - clock.nowMs();
     const isRefusal = this.#isUncertain && leftMs < REFUSE_WINDOW_MS;
     const commit = { base: this.#base };
@@ -162,6 +180,7 @@
       ],
     });
     if (done.ok) {
+      access.onServed();
       this.#settle(
         isRefusal
           ? Err(new Fault(FaultCode.NotStored, job.id))
@@ -171,19 +190,54 @@
     }
     switch (done.val.code) {
       case FaultCode.Conflict:
+        access.onServed();
+        this.#routes.onTableServed();
         this.#open.delete(commit);
         this.#isRowUnread = true;
         return await this.#readRow();
       case FaultCode.StoreUnavailable:
       case FaultCode.RateLimited:
+        access.onFailed();
         this.#open.delete(commit);
         return done.val;
       default:
+        access.onFailed();
         void this.#readRow();
         return new Fault(FaultCode.OutcomeUnknown, done.val.detail);
     }
   }
 
+  /** Has another entry run this submission for the time that is left. */
+  async #forward(): Promise<Progress | Fault> {
+    const { clock, forwarder, deadlineMs, job, submission } = this.#options;
+    if (forwarder === undefined) return new Fault(FaultCode.PeerUnreachable);
+    const mayBeStored = this.#isUncertain;
+    const commit = { base: Number.POSITIVE_INFINITY };
+    this.#open.add(commit);
+    const answer = await forwarder.forward(
+      { path: ForwardPath.Submit, job, submission, mayBeStored },
+      deadlineMs - clock.nowMs(),
+      this.#routes.tried,
+    );
+    if (answer.ok) {
+      const isStored = answer.val === SubmitOutcome.Stored;
+      this.#settle(Ok(isStored ? SubmitOutcome.Stored : SubmitOutcome.Known));
+      return Progress.RowRead;
+    }
+    switch (answer.val.code) {
+      case FaultCode.NotStored:
+        this.#settle(answer);
+        return Progress.RowRead;
+      case FaultCode.PeerUnreachable:
+      case FaultCode.StoreUnavailable:
+      case FaultCode.RateLimited:
+        this.#open.delete(commit);
+        return new Fault(FaultCode.StoreUnavailable, answer.val.detail);
+      default:
+        return new Fault(FaultCode.OutcomeUnknown, answer.val.detail);
+    }
+  }
+
   #encodeRefusal(): string {
     const { clock, submission } = this.#options;
     const listed = this.#refused.slice(1 - MAX_LISTED_SUBMISSIONS);
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -292,6 +292,13 @@
       defaultText: "3000",
       help: "Age from which the configuration, if it cannot be confirmed, is not used for requests.",
     },
+    {
+      key: "forward_submissions",
+      kind: FieldKind.Choice,
+      choices: ["false", "true"],
+      defaultText: "false",
+      help: "Whether calls are forwarded to other entries while the table rejects this one.",
+    },
     {
       key: "order_timeout_ms",
       kind: FieldKind.Integer,
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -85,6 +85,14 @@
     );
   }
 
+  /** Time in ms for which all calls have failed; 0 while they succeed. */
+  get outageMs(): number {
+    const { clock } = this.#options;
+    return this.#outage === undefined
+      ? 0
+      : clock.nowMs() - this.#outage.sinceMs;
+  }
+
   /** Monotonic ms up to which all changes are known. */
   get confirmedMs(): number {
     return this.#confirmedMs;
--- a/packages/relay/src/peer_directory.ts
+++ b/packages/relay/src/peer_directory.ts
@@ -12,6 +12,13 @@
   readonly member: string;
 }
 
+/** Where another entry process answers requests of its peers. */
+export interface AdminTarget {
+  /** `host:port`. */
+  readonly address: string;
+  readonly failureDomain: string;
+}
+
 /** Interval at which the peers are read, in ms. */
 const READ_INTERVAL_MS = 15_000;
 /** Interval while no peer is known, or reads fail, in ms. */
@@ -24,6 +31,7 @@
 export class PeerDirectory {
   readonly #options: PeerDirectoryOptions;
   #peers: readonly RelayEntry[] = [];
+  #adminTargets: readonly AdminTarget[] = [];
 
   constructor(options: PeerDirectoryOptions) {
     this.#options = options;
@@ -36,6 +44,11 @@
     );
   }
 
+  /** Where each process carries out calls for others, `host:port`. */
+  get adminTargets(): readonly AdminTarget[] {
+    return this.#adminTargets;
+  }
+
   /** Processing capacity of the largest VM in cores; 0 if none is known. */
   get largestCapacity(): number {
     return Math.max(0, ...this.#peers.map(({ capacity }) => capacity));
@@ -57,6 +70,12 @@
     const read = await readRelays(table, journal);
     if (read.err) return false;
     this.#peers = read.val.filter(({ name }) => name !== member);
+    this.#adminTargets = this.#peers.flatMap(
+      ({ adminAddress, failureDomain }) =>
+        adminAddress === undefined
+          ? []
+          : [{ address: adminAddress, failureDomain }],
+    );
     return true;
   }
 }
