feat(admission): refuse jobs that cannot be served usefully

Under overload every submission was accepted, also jobs that would complete after their results are worthless, and jobs for which the leader has no memory. With the setting admission (default false) the leader measures the load of each pool and priority, at most every 500 ms, and stores it in the leadership row (Leadership.load, at most 16 pools and queues). Each entry decides on it by a pure function: a job is refused with 429 and Retry-After if a step fits no worker, if the leader's memory is used up, or if its expected completion is past three times its objective. Entries take shares of the room, less what they accepted since the digest. A digest that is missing, unreadable or older than 3 s limits only the memory. Before a refusal the job's row is read, so a repeated submission of a stored job is answered with 200. Without the setting no load is measured or stored.

Not measured: the effect on a deployment under load.

--- a/packages/core/src/fault.ts
+++ b/packages/core/src/fault.ts
@@ -44,6 +44,8 @@
   HistoryLost = "history_lost",
   /** The call was rejected by a rate limit; it had no effect. */
   RateLimited = "rate_limited",
+  /** A job was refused because it cannot be served usefully at present. */
+  Overloaded = "overloaded",
   /** A worker rejected the call because it has seen a newer leader. */
   Fenced = "fenced",
   /** A different instance answers at the worker's address. */
@@ -80,6 +82,7 @@
   [FaultCode.TooLarge]: "the body exceeds the size limit",
   [FaultCode.HistoryLost]: "the requested changes are no longer retained",
   [FaultCode.RateLimited]: "rate limit exceeded",
+  [FaultCode.Overloaded]: "the job cannot be served usefully at present",
   [FaultCode.Fenced]: "the worker has seen a newer leader",
   [FaultCode.OtherInstance]:
     "a different instance answers at the worker's address",
--- a/packages/desk/src/job_service.ts
+++ b/packages/desk/src/job_service.ts
@@ -116,6 +116,16 @@
     return result;
   }
 
+  /**
+   * Whether a job with this id is stored or may be, also by a submission to this
+   * process that is open or ended without a known outcome.
+   */
+  async mayBeStored(id: string, deadlineMs: number): Promise<boolean> {
+    if (this.#unresolved.has(id)) return true;
+    const row = await this.#withDeadline(deadlineMs, () => this.#readRow(id));
+    return row.ok || row.val.code !== FaultCode.NotFound;
+  }
+
   /** Phase of a job; `NotFound` when no job has this id. */
   async readPhase(
     id: string,
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -42,6 +42,8 @@
   readonly workerIds?: readonly string[];
   /** Decodes the entries of workers; by default, each key names a worker. */
   readonly registry?: WorkerRegistry;
+  /** Memory that jobs may occupy in a leader; by default, no load is stored. */
+  readonly jobsLimitBytes?: number;
 }
 
 const QUEUE = {
@@ -85,6 +87,7 @@
   readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
+  readonly #jobsLimitBytes: number | undefined;
   #processCount = 0;
 
   constructor({
@@ -95,6 +98,7 @@
     rightMs = DEFAULT_RIGHT_MS,
     workerIds = [],
     registry = new RegistryStandin(),
+    jobsLimitBytes,
   }: EntryWorldOptions) {
     const ids = Array.from(
       { length: workers },
@@ -104,6 +108,7 @@
     this.#capacities = capacities;
     this.#leaseMs = leaseMs;
     this.#rightMs = rightMs;
+    this.#jobsLimitBytes = jobsLimitBytes;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -287,6 +292,7 @@
       // The lower an entry's index, the sooner it tries to become leader.
       timeoutJitter: index / (index + 1),
       isEligible: () => true,
+      jobsLimitBytes: this.#jobsLimitBytes,
     });
     const abort = new AbortController();
     const running = leadership.run(abort.signal);
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -292,6 +292,13 @@
       defaultText: "3000",
       help: "Age from which the configuration, if it cannot be confirmed, is not used for requests.",
     },
+    {
+      key: "admission",
+      kind: FieldKind.Choice,
+      choices: ["false", "true"],
+      defaultText: "false",
+      help: "Whether jobs that cannot be served usefully are refused with 429.",
+    },
     {
       key: "forward_submissions",
       kind: FieldKind.Choice,
--- a/packages/jobs/src/leadership_row.ts
+++ b/packages/jobs/src/leadership_row.ts
@@ -70,6 +70,11 @@
    * in rows of versions that do not keep it.
    */
   readonly pendingAgeMs?: number;
+  /**
+   * Load that entries admit jobs by, read with `readLoadDigest`; absent if
+   * unknown. Unchecked here: an unreadable one must not stop the election.
+   */
+  readonly load?: unknown;
 }
 
 /** Request of a candidate on a VM with more CPU to take over leadership. */
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -48,6 +48,8 @@
   readonly pending: () => Record<string, number>;
   /** Monotonic ms up to which all stored jobs are known. */
   readonly jobsKnownMs: () => number;
+  /** Load that entries admit jobs by; absent if they do not. */
+  readonly load?: (() => object) | undefined;
   /** Exports the pressure model for the next leader. */
   readonly exportModel: () => object;
   /** Called once the final state of a job is stored. */
@@ -205,6 +207,8 @@
         ? this.#options.pending()
         : this.#held.row.pending,
       pendingAgeMs: this.#pendingAgeMs(),
+      // The load that a former leader saw is outdated.
+      load: this.#isStateLoaded ? this.#options.load?.() : undefined,
     };
     const finals = batch.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from "node:events";
+import { LoadMeter } from "@laburnumtrack/admission/load_meter";
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { FeedTable } from "@laburnumtrack/core/feed_table";
 import { Signal } from "@laburnumtrack/core/signal";
@@ -11,7 +12,7 @@
   planStarts,
 } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt } from "@laburnumtrack/jobs/task";
-import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
+import { RunEnd, type TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -48,6 +49,11 @@
   /** Time that a task takes to resume from its checkpoint, in ms. */
   readonly restoreMs: number;
   readonly succession: Succession;
+  /**
+   * Memory that jobs may occupy in this process, in bytes. If given, the load is
+   * stored with each commit, so that entries admit jobs by it.
+   */
+  readonly jobsLimitBytes?: number | undefined;
 }
 
 /** How the leadership of a term was acquired. */
@@ -118,6 +124,7 @@
   readonly #runMonitor: RunMonitor;
   readonly #startDelayLog: StartDelayLog;
   readonly #suspectStarts: SuspectStarts;
+  readonly #loadMeter: LoadMeter | undefined;
   readonly #planSignal: Signal;
   readonly #background: BackgroundTasks;
   /** The release waits for these, but not for the other background tasks. */
@@ -149,6 +156,14 @@
       silent: start.held.row.silent,
     });
     this.#board = this.#createBoard();
+    const { jobsLimitBytes: limitBytes } = options;
+    if (limitBytes !== undefined) {
+      this.#loadMeter = new LoadMeter({
+        clock,
+        board: this.#board,
+        limitBytes,
+      });
+    }
     this.#rowCloser = new RowCloser({ clock, table });
     this.#runMonitor = new RunMonitor({
       ...options,
@@ -170,6 +185,7 @@
       formerLeases: this.#formerLeases,
       pending: () => countPending(this.#board),
       jobsKnownMs: () => this.#intake.follower.confirmedMs,
+      load: this.#loadMeter && (() => this.#loadMeter?.current ?? {}),
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
     });
@@ -297,6 +313,7 @@
         onStop: (stop) => this.#workers.sendStop(stop),
         onEnd: (task, ended, worker) => {
           this.#planSignal.set();
+          if (ended.end === RunEnd.Done) this.#loadMeter?.onDone(task);
           this.#runMonitor.onEnd(task, ended, worker);
         },
         onLoss: (task, loss, change) =>
