fix(desk): do not multiply calls to a table that rejects all entries

While the table rejects every entry, each submission was forwarded to peers until each of them was in back-off: with 40 entries, thousands of further rejected commits per second. After 4 failures in a row an entry forwards nothing for 300 ms, doubling up to 2 s, and a success resets both. A table that serves this process is chosen without a look at the peers. Forwarded jobs with steps that are none are refused with 400.

--- a/packages/desk/src/desk_server.ts
+++ b/packages/desk/src/desk_server.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import { Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { decodeJson } from "@laburnumtrack/http_ports/json_client";
-import type { Job } from "@laburnumtrack/jobs/job";
+import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { readText, sendJson } from "@laburnumtrack/process/http_body";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
@@ -183,10 +183,22 @@
     typeof spec === "string" &&
     Array.isArray(steps) &&
     steps.length > 0 &&
+    steps.every(isStep) &&
     Number.isFinite(submittedMs)
   );
 }
 
+function isStep(value: Partial<Step> | null): boolean {
+  const { count, resources, estimateMs, after } = value ?? {};
+  const { cpuMilli, memoryMb, accelerators } = resources ?? {};
+  const numbers = [estimateMs, cpuMilli, memoryMb, accelerators];
+  return (
+    Number.isInteger(count) &&
+    numbers.every((number) => Number.isFinite(number) && Number(number) >= 0) &&
+    Array.isArray(after)
+  );
+}
+
 function isJobId(value: unknown): boolean {
   return typeof value === "string" && JOB_ID.test(value);
 }
--- a/packages/desk/src/desk_server_test.ts
+++ b/packages/desk/src/desk_server_test.ts
@@ -3,7 +3,7 @@
 import { SystemClock } from "@laburnumtrack/core/clock";
 import { type Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { JsonClient } from "@laburnumtrack/http_ports/json_client";
-import type { Job } from "@laburnumtrack/jobs/job";
+import type { Job, Step } from "@laburnumtrack/jobs/job";
 import { createStep } from "@laburnumtrack/jobs/test_samples";
 import { listenHttp } from "@laburnumtrack/process/http_listener";
 import { createJournal } from "@laburnumtrack/process/journal";
@@ -60,6 +60,19 @@
     calls: [{ ...SUBMIT, job: { ...JOB, steps: [] } }, PHASE],
     outcomes: [FaultCode.PeerUnreachable, FaultCode.NotFound],
   },
+  {
+    name: "a job with a step that is none is not carried out",
+    calls: [
+      { ...SUBMIT, job: { ...JOB, steps: [null as unknown as Step] } },
+      { ...SUBMIT, job: { ...JOB, steps: [{ ...createStep(), count: 0.5 }] } },
+      PHASE,
+    ],
+    outcomes: [
+      FaultCode.PeerUnreachable,
+      FaultCode.PeerUnreachable,
+      FaultCode.NotFound,
+    ],
+  },
   {
     name: "an id that is none",
     calls: [{ ...PHASE, id: "../op" }],
--- a/packages/desk/src/forwarder.ts
+++ b/packages/desk/src/forwarder.ts
@@ -44,6 +44,14 @@
 const FIRST_BACKOFF_MS = 500;
 /** Longest pause after an entry failed, in ms. */
 const MAX_BACKOFF_MS = 8000;
+/**
+ * Failures in a row after which nothing is forwarded for a while. Otherwise the
+ * entries would multiply the calls to a table that rejects all of them.
+ */
+const MAX_FAILURES_IN_ROW = 4;
+/** First of these pauses, in ms; it doubles up to the longest. */
+const FIRST_PAUSE_MS = 300;
+const MAX_PAUSE_MS = 2000;
 /** Age of an open call from which its entry gets no further one, in ms. */
 const SLOW_CALL_MS = 400;
 /** Time without a forwarded call after which the next one is logged, in ms. */
@@ -68,6 +76,10 @@
   readonly #backoffs = new Map<string, Backoff>();
   /** Address of the entry that succeeded last. */
   #best: string | undefined;
+  #failuresInRow = 0;
+  /** Monotonic ms until which nothing is forwarded. */
+  #pausedUntilMs = Number.NEGATIVE_INFINITY;
+  #pauseMs = FIRST_PAUSE_MS;
   #lastCallMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: ForwarderOptions) {
@@ -78,7 +90,8 @@
 
   /** Whether an entry can be asked that is not in `tried`. */
   canForward(tried: ReadonlySet<string>): boolean {
-    return this.#open.size < MAX_OPEN_CALLS && this.#list(tried).length > 0;
+    if (this.#open.size >= MAX_OPEN_CALLS || this.#isPaused) return false;
+    return this.#list(tried).length > 0;
   }
 
   /**
@@ -92,7 +105,8 @@
   ): Promise<Result<string, Fault>> {
     const { clock, metrics, peer } = this.#options;
     const address = this.#choose(tried);
-    if (address === undefined || this.#open.size >= MAX_OPEN_CALLS) {
+    const isBusy = this.#open.size >= MAX_OPEN_CALLS || this.#isPaused;
+    if (address === undefined || isBusy) {
       return Err(new Fault(FaultCode.PeerUnreachable));
     }
     tried.add(address);
@@ -105,13 +119,14 @@
     metrics.count(`forwards{path="${call.path}",outcome="${outcome}"}`);
     metrics.recordMs("forward", clock.nowMs() - open.sentMs);
     if (answer.err && REJECTIONS.has(answer.val.code)) this.#onFailed(address);
-    else {
-      this.#backoffs.delete(address);
-      this.#best = address;
-    }
+    else this.#onSucceeded(address);
     return answer;
   }
 
+  get #isPaused(): boolean {
+    return this.#options.clock.nowMs() < this.#pausedUntilMs;
+  }
+
   #choose(tried: ReadonlySet<string>): string | undefined {
     const { failureDomain, random } = this.#options;
     const usable = this.#list(tried);
@@ -140,6 +155,13 @@
     );
   }
 
+  #onSucceeded(address: string): void {
+    this.#backoffs.delete(address);
+    this.#best = address;
+    this.#failuresInRow = 0;
+    this.#pauseMs = FIRST_PAUSE_MS;
+  }
+
   #onFailed(address: string): void {
     const { clock } = this.#options;
     const former = this.#backoffs.get(address)?.pauseMs ?? 0;
@@ -149,6 +171,11 @@
     );
     this.#backoffs.set(address, { untilMs: clock.nowMs() + pauseMs, pauseMs });
     if (this.#best === address) this.#best = undefined;
+    this.#failuresInRow += 1;
+    if (this.#failuresInRow < MAX_FAILURES_IN_ROW) return;
+    this.#failuresInRow = 0;
+    this.#pausedUntilMs = clock.nowMs() + this.#pauseMs;
+    this.#pauseMs = Math.min(MAX_PAUSE_MS, 2 * this.#pauseMs);
   }
 
   #logStart({ path }: ForwardedCall, address: string): void {
--- a/packages/desk/src/route_choice.ts
+++ b/packages/desk/src/route_choice.ts
@@ -41,15 +41,13 @@
 
   #choose(isTableNeeded: boolean): Route | undefined {
     const { access, forwarder } = this.#options;
+    if (this.#last === undefined && access.isServed) return Route.Table;
     const canForward = forwarder?.canForward(this.tried) ?? false;
     if (!canForward) {
       return access.isReachable || isTableNeeded ? Route.Table : undefined;
     }
-    if (!access.isReachable) return Route.Peer;
-    if (this.#last === undefined) {
-      return access.isServed ? Route.Table : Route.Peer;
-    }
-    return this.#last === Route.Table ? Route.Peer : Route.Table;
+    const wasPeer = this.#last === Route.Peer;
+    return wasPeer && access.isReachable ? Route.Table : Route.Peer;
   }
 
   /** The table carried out a call, so the next one goes there as well. */
