test(desk): make the pause of forwarded calls visible

There are six peers now, and the case fails without the limit, without the doubling of the pause and without the growth of the back-off (each seen).

--- a/packages/desk/src/forwarder_test.ts
+++ b/packages/desk/src/forwarder_test.ts
@@ -14,6 +14,8 @@
   { address: "near1", failureDomain: "a" },
   { address: "near2", failureDomain: "a" },
   { address: "far2", failureDomain: "b" },
+  { address: "far3", failureDomain: "b" },
+  { address: "far4", failureDomain: "b" },
 ];
 
 /** Entries that answer as a test decides, and keep open calls open. */
@@ -78,7 +80,7 @@
       peer.failing.delete("far2");
       await forward();
       await forward(new Set(["near2", "far1"]));
-      const others = new Set(["near2", "far1", "far2"]);
+      const others = ["near2", "far1", "far2", "far3", "far4"];
       await clock.run(400);
       await forward(new Set(others));
       await clock.run(600);
@@ -101,10 +103,14 @@
       for (let count = 0; count < 6; count += 1) await forward();
       await clock.run(1150);
       for (let count = 0; count < 6; count += 1) await forward();
+      peer.called.push("after 1150 ms");
+      await clock.run(1250);
+      for (let count = 0; count < 6; count += 1) await forward();
     },
     called: [
       ...["near1", "near2", "far1", "far2"],
       ...["near1", "near2", "far1", "far2"],
+      ...["after 1150 ms", "far3", "far4"],
     ],
   },
   {
