--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -59,6 +59,8 @@
   readonly evacuateMs?: number;
   /** Parts of planning that are turned on; none by default. */
   readonly planning?: PlanningFeatures;
+  /** Memory that jobs may occupy in a leader; by default, no load is stored. */
+  readonly jobsLimitBytes?: number;
 }
 
 const QUEUE: Queue = {
@@ -104,6 +106,7 @@
   readonly #rightMs: number;
   readonly #evacuateMs: number;
   readonly #planning: PlanningFeatures | undefined;
+  readonly #jobsLimitBytes: number | undefined;
   #processCount = 0;
 
   constructor({
@@ -116,6 +119,7 @@
     registry = new RegistryStandin(),
     evacuateMs = 0,
     planning,
+    jobsLimitBytes,
   }: EntryWorldOptions) {
     const ids = Array.from(
       { length: workers },
@@ -127,6 +131,7 @@
     this.#rightMs = rightMs;
     this.#evacuateMs = evacuateMs;
     this.#planning = planning;
+    this.#jobsLimitBytes = jobsLimitBytes;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -350,6 +355,7 @@
       // The lower an entry's index, the sooner it tries to become leader.
       timeoutJitter: index / (index + 1),
       isEligible: () => true,
+      jobsLimitBytes: this.#jobsLimitBytes,
     });
     const abort = new AbortController();
     if (evacuations !== undefined) void watcher.run(abort.signal);
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from "node:events";
+import { LoadMeter } from "@laburnumtrack/admission/load_meter";
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { FeedTable } from "@laburnumtrack/core/feed_table";
 import { Signal } from "@laburnumtrack/core/signal";
@@ -8,7 +9,7 @@
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { PlanningState } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, Placement, Task } from "@laburnumtrack/jobs/task";
-import type { TaskWorker } from "@laburnumtrack/jobs/task_worker";
+import { RunEnd, type TaskWorker } from "@laburnumtrack/jobs/task_worker";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
@@ -61,6 +62,11 @@
   /** Parts of planning that the deployment turns on; none by default. */
   readonly planning?: PlanningFeatures | undefined;
   readonly succession: Succession;
+  /**
+   * Memory that jobs may occupy in this process, in bytes. If given, the load is
+   * stored with each commit, so that entries admit jobs by it.
+   */
+  readonly jobsLimitBytes?: number | undefined;
 }
 
 /** How the leadership of a term was acquired. */
@@ -135,6 +141,7 @@
   readonly #startDelayLog: StartDelayLog;
   readonly #evacuationLog: EvacuationLog;
   readonly #suspectStarts: SuspectStarts;
+  readonly #loadMeter: LoadMeter | undefined;
   readonly #planSignal: Signal;
   readonly #background: BackgroundTasks;
   /** The release waits for these, but not for the other background tasks. */
@@ -167,6 +174,14 @@
     });
     this.#board = this.#createBoard();
     this.#guard = new EvacuationGuard({ ...options, board: this.#board });
+    const { jobsLimitBytes: limitBytes } = options;
+    if (limitBytes !== undefined) {
+      this.#loadMeter = new LoadMeter({
+        clock,
+        board: this.#board,
+        limitBytes,
+      });
+    }
     this.#rowCloser = new RowCloser({ clock, table });
     this.#runMonitor = new RunMonitor({
       ...options,
@@ -198,6 +213,7 @@
       formerLeases: this.#formerLeases,
       pending: () => countPending(this.#board),
       jobsKnownMs: () => this.#intake.follower.confirmedMs,
+      load: this.#loadMeter && (() => this.#loadMeter?.current ?? {}),
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
     });
@@ -349,6 +365,7 @@
         onStop: (stop) => this.#workers.sendStop(stop),
         onEnd: (task, ended, worker) => {
           this.#planSignal.set();
+          if (ended.end === RunEnd.Done) this.#loadMeter?.onDone(task);
           this.#runMonitor.onEnd(task, ended, worker);
         },
         onLoss: (task, loss, change) =>
