feat(leader): move the states of finished jobs and remove their history

Cause: the state of each job ever finished stayed among the rows that a new leader reads, and its closed row in the job list. Takeovers took longer with each job; with 200,000 rows one stopped the process for longer than the leadership lasts. New leaders process jobs and states page by page (FeedTable.readPages). The row closer pauses less when many rows wait. Phases are read from the state, then from the outcome. An empty number in the settings file stands for its default, as some deployments have no value for a placeholder.

--- a/packages/core/src/feed_table.ts
+++ b/packages/core/src/feed_table.ts
@@ -11,6 +11,9 @@
   readonly bytes: number;
 }
 
+/** Receives a part of a snapshot; false ends the reading. */
+export type PageListener = (page: Snapshot) => boolean;
+
 /** Changed rows in order, and the revision to continue from. */
 export interface Changes {
   readonly rows: readonly ChangedRow[];
@@ -39,6 +42,19 @@
    * {@linkcode changes} that follow, but is never missing from both.
    */
   abstract snapshot(prefix: string): Promise<Result<Snapshot, Fault>>;
+  /**
+   * Reads all rows under `prefix` like {@linkcode snapshot}, and passes them on
+   * part by part, so that they need not all be held. The result has no rows; its
+   * revision is the lowest of all parts.
+   */
+  async readPages(
+    prefix: string,
+    onPage: PageListener,
+  ): Promise<Result<Snapshot, Fault>> {
+    const read = await this.snapshot(prefix);
+    if (read.ok) onPage(read.val);
+    return read.map((snapshot) => ({ ...snapshot, rows: [] }));
+  }
   /**
    * Waits for changes above the revision `after`. Fails with `HistoryLost` when
    * they are no longer retained, and with `TooLarge` when there are more than
--- a/packages/desk/src/job_service.ts
+++ b/packages/desk/src/job_service.ts
@@ -5,17 +5,15 @@
 import {
   encodeClosedJobRow,
   encodeOpenJobRow,
+  endedKey,
   type JobRow,
   jobKey,
+  readEndedJob,
   readJobRow,
   readState,
   stateKey,
 } from "@laburnumtrack/jobs/job_rows";
-import {
-  isFinal,
-  JobPhase,
-  type JobState,
-} from "@laburnumtrack/jobs/job_state";
+import { isFinal, JobPhase } from "@laburnumtrack/jobs/job_state";
 import { Err, Ok, type Result } from "ts-results";
 
 /** Options of a job service. */
@@ -84,16 +82,24 @@
     deadlineMs: number,
   ): Promise<Result<JobPhase, Fault>> {
     return await this.#retry(deadlineMs, async () => {
-      const state = await this.#readState(id);
-      if (state.err) return state;
-      const phase = state.val?.phase;
+      const stored = await this.#readStored(id);
+      if (stored.err) return stored;
+      const phase = stored.val;
       if (phase !== undefined && isFinal(phase)) return Ok(phase);
       // A cancellation is in the job's row before a leader has stored the
       // state.
       const row = await this.#readRow(id);
-      if (row.ok && row.val.value.isCancelled) return Ok(JobPhase.Cancelled);
-      if (phase !== undefined) return Ok(phase);
-      return row.map(() => JobPhase.Queued);
+      if (row.err) return phase === undefined ? row : Ok(phase);
+      const { job, isCancelled } = row.val.value;
+      if (job !== undefined) return Ok(phase ?? JobPhase.Queued);
+      if (isCancelled) return Ok(JobPhase.Cancelled);
+      // The job finished between the reads, or its outcome is removed already.
+      const again = await this.#readStored(id);
+      return again.andThen((found) =>
+        found === undefined
+          ? Err(new Fault(FaultCode.NotFound, id))
+          : Ok(found),
+      );
     });
   }
 
@@ -108,19 +114,30 @@
       const { value, revision } = row.val;
       if (value.job === undefined) return Ok(undefined);
       const key = jobKey(id);
+      const closedMs = this.#options.clock.wallMs();
+      const closed = { isCancelled: true, closedMs };
       const done = await this.#options.table.commit({
         checks: [{ key, revision }],
-        writes: [{ key, value: encodeClosedJobRow({ isCancelled: true }) }],
+        writes: [{ key, value: encodeClosedJobRow(closed) }],
       });
       return done.ok ? Ok(undefined) : done;
     });
   }
 
-  async #readState(id: string): Promise<Result<JobState | undefined, Fault>> {
-    const read = await this.#options.table.get([stateKey(id)]);
-    if (read.err) return read;
-    const [row] = read.val;
-    return row === undefined ? Ok(undefined) : readState(row);
+  /**
+   * Phase by the job's state, or by its outcome once that has moved there;
+   * undefined if neither is stored.
+   */
+  async #readStored(id: string): Promise<Result<JobPhase | undefined, Fault>> {
+    const states = await this.#options.table.get([stateKey(id)]);
+    if (states.err) return states;
+    const [state] = states.val;
+    if (state !== undefined) return readState(state).map(({ phase }) => phase);
+    const outcomes = await this.#options.table.get([endedKey(id)]);
+    if (outcomes.err) return outcomes;
+    const [outcome] = outcomes.val;
+    if (outcome === undefined) return Ok(undefined);
+    return readEndedJob(outcome).map(({ phase }) => phase);
   }
 
   async #readRow(
--- a/packages/desk/src/job_service_test.ts
+++ b/packages/desk/src/job_service_test.ts
@@ -2,7 +2,13 @@
 import { test } from "node:test";
 import { FaultCode } from "@laburnumtrack/core/fault";
 import type { Job } from "@laburnumtrack/jobs/job";
-import { stateKey } from "@laburnumtrack/jobs/job_rows";
+import {
+  encodeClosedJobRow,
+  encodeEndedJob,
+  endedKey,
+  jobKey,
+  stateKey,
+} from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { createStep } from "@laburnumtrack/jobs/test_samples";
 import {
@@ -67,6 +73,21 @@
     calls: [submit, storeRunning, readPhase],
     answer: JobPhase.Running,
   },
+  {
+    name: "a job that is over, whose state was moved",
+    calls: [submit, closeRow, storeOutcome, readPhase],
+    answer: JobPhase.Failed,
+  },
+  {
+    name: "a job whose outcome was removed",
+    calls: [submit, closeRow, readPhase],
+    answer: FaultCode.NotFound,
+  },
+  {
+    name: "a job that was cancelled after it failed",
+    calls: [submit, cancel, storeOutcome, readPhase],
+    answer: JobPhase.Failed,
+  },
   {
     name: "a job is cancelled twice",
     calls: [submit, cancel, cancel],
@@ -167,6 +188,18 @@
   });
 }
 
+/** Closes the row, as a leader does once the job is over. */
+async function closeRow({ table }: Setup): Promise<void> {
+  const value = encodeClosedJobRow({ isCancelled: false });
+  await table.commit({ checks: [], writes: [{ key: jobKey(JOB.id), value }] });
+}
+
+async function storeOutcome({ table }: Setup): Promise<void> {
+  const value = encodeEndedJob({ phase: JobPhase.Failed, sinceMs: 0 });
+  const writes = [{ key: endedKey(JOB.id), value }];
+  await table.commit({ checks: [], writes });
+}
+
 function setTrouble(kind: TableFault): (setup: Setup) => Promise<void> {
   return async ({ table }) => {
     table.fault = kind;
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -40,6 +40,8 @@
   readonly rightMs?: number;
   /** Ids of the first workers; the others are `w0`, `w1` and so on. */
   readonly workerIds?: readonly string[];
+  /** Time for which a finished job stays known, in ms; longer than a case by default. */
+  readonly jobRetentionMs?: number;
   /** Decodes the entries of workers; by default, each key names a worker. */
   readonly registry?: WorkerRegistry;
 }
@@ -61,6 +63,8 @@
   pools: [{ name: "pool", isGuarded: true, isStandby: false }],
 };
 const DEFAULT_LEASE_MS = 6000;
+/** Longer than any case, whose phases are read at its end. */
+const DEFAULT_JOB_RETENTION_MS = 3_600_000;
 /** How long the leader may send orders after its last commit. */
 const DEFAULT_RIGHT_MS = 3500;
 const RESTORE_MS = 100;
@@ -85,6 +89,7 @@
   readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
+  readonly #jobRetentionMs: number;
   #processCount = 0;
 
   constructor({
@@ -94,6 +99,7 @@
     leaseMs = DEFAULT_LEASE_MS,
     rightMs = DEFAULT_RIGHT_MS,
     workerIds = [],
+    jobRetentionMs = DEFAULT_JOB_RETENTION_MS,
     registry = new RegistryStandin(),
   }: EntryWorldOptions) {
     const ids = Array.from(
@@ -104,6 +110,7 @@
     this.#capacities = capacities;
     this.#leaseMs = leaseMs;
     this.#rightMs = rightMs;
+    this.#jobRetentionMs = jobRetentionMs;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -280,6 +287,7 @@
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
+      jobRetentionMs: this.#jobRetentionMs,
       member: name,
       instance: `${name}/${this.#processCount}`,
       capacity,
--- a/packages/fileset/src/field.ts
+++ b/packages/fileset/src/field.ts
@@ -89,12 +89,12 @@
     errors.push({ file, line, section: name, key, expected });
   };
   for (const field of fields) {
-    const text = section.entries.get(field.key)?.value ?? field.defaultText;
+    const text = findText(section, field);
     if (text === undefined) {
       report(field.key, `this key, ${describeField(field)}`);
       continue;
     }
-    const isDefault = !section.entries.has(field.key);
+    const isDefault = text === field.defaultText;
     if (!isDefault && !isValid(field, text)) {
       report(field.key, describeField(field));
       continue;
@@ -108,6 +108,20 @@
   return { values: new SectionValues(values), errors };
 }
 
+/**
+ * The text of a value, or its default. An empty number stands for its default: a
+ * template leaves a value empty that a deployment does not have.
+ */
+function findText(
+  { entries }: Section,
+  { key, kind, defaultText }: Field,
+): string | undefined {
+  const text = entries.get(key)?.value;
+  const isNumber = kind === FieldKind.Integer || kind === FieldKind.Decimal;
+  const isMissing = text === undefined || (text === "" && isNumber);
+  return isMissing ? (defaultText ?? text) : text;
+}
+
 /** Describes the values that a field accepts, for errors and the reference. */
 export function describeField(field: Field): string {
   const unit = field.unit === undefined ? "" : ` in ${field.unit}`;
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -328,6 +328,15 @@
       defaultText: "500",
       help: "Time that a task takes to resume from its checkpoint.",
     },
+    {
+      key: "job_retention_s",
+      kind: FieldKind.Decimal,
+      unit: "s",
+      min: 1,
+      max: 86_400,
+      defaultText: "120",
+      help: "How long a finished job stays known: its state is answered, and its id does not run again.",
+    },
     {
       key: "processor_share",
       kind: FieldKind.Decimal,
--- a/packages/fileset/src/settings_test.ts
+++ b/packages/fileset/src/settings_test.ts
@@ -40,6 +40,16 @@
     text: GOOD.replace("10.0.0.1:8080", "10.0.0.1:70000"),
     errors: ["gateway caller_address"],
   },
+  {
+    name: "an empty value that is no number",
+    text: GOOD.replace("10.0.0.1:8080", ""),
+    errors: ["gateway caller_address"],
+  },
+  {
+    name: "a word instead of a number",
+    text: `${GOOD}queue_limit = many\n`,
+    errors: ["gateway queue_limit"],
+  },
   {
     name: "values that are invalid in combination",
     text: `${GOOD}[membership]\nbeat_ms = 1000\ndead_after_ms = 1500\n`,
@@ -76,3 +86,11 @@
   const settings = readSettings("gateway", { file: "s", text: GOOD }).unwrap();
   assert.equal(getSection(settings, "membership").number("beat_ms"), 2000);
 });
+
+// Guards against an entry that does not start because a deployment has no value
+// for a placeholder of the template.
+test("settings: an empty number takes its default", () => {
+  const text = `${GOOD}queue_limit =\n`;
+  const settings = readSettings("gateway", { file: "s", text }).unwrap();
+  assert.equal(getSection(settings, "gateway").number("queue_limit"), 512);
+});
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -96,6 +96,11 @@
     this.#closedJobs.add(id);
   }
 
+  /** Notes that the id of a closed job is free again, or is in use again. */
+  onReopened(id: string): void {
+    this.#closedJobs.delete(id);
+  }
+
   /** Cancels a job and stops its runs; undefined if unknown or over. */
   cancelJob(id: string, wallMs: number): JobRecord | undefined {
     const record = this.jobs.get(id);
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -3,7 +3,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { LearntModel } from "./interference_model";
 import type { Job } from "./job";
-import type { JobState } from "./job_state";
+import type { JobPhase, JobState } from "./job_state";
 import type { Bid, Leadership, RunsRow } from "./leadership_row";
 
 /** Key prefixes of the stored rows. */
@@ -13,8 +13,13 @@
    * transaction that writes one of them writes no other row.
    */
   Jobs = "jobs/",
-  /** Progress of jobs, written by the leader only. */
+  /** Progress of jobs, written by the leader only, and read by the next one. */
   States = "states/",
+  /**
+   * Outcomes of jobs that are over, written by the leader only. They are read
+   * one by one: a new leader does not need them.
+   */
+  Ended = "ended/",
   /** Rows about the leading scheduler. */
   Leader = "leader/",
 }
@@ -44,6 +49,11 @@
   return `${RowPrefix.States}${id}`;
 }
 
+/** Key of the {@linkcode EndedJob} of a job. */
+export function endedKey(id: string): string {
+  return `${RowPrefix.Ended}${id}`;
+}
+
 /** Returns the id of the job in a key with a {@linkcode RowPrefix}. */
 export function jobIdOfKey(key: string): string {
   return key.slice(key.indexOf("/") + 1);
@@ -55,6 +65,18 @@
   readonly job: Job | undefined;
   /** Whether a caller cancelled it. */
   readonly isCancelled: boolean;
+  /**
+   * Unix ms of the cancellation; missing in rows that the leader closed, and in
+   * rows of earlier releases.
+   */
+  readonly closedMs?: number;
+}
+
+/** Outcome of a job that is over. */
+export interface EndedJob {
+  readonly phase: JobPhase;
+  /** Unix ms at which it finished, by the clock of the leader then. */
+  readonly sinceMs: number;
 }
 
 /** Encodes the row of a submitted job. */
@@ -63,12 +85,20 @@
 }
 
 /** Encodes the row of a job that is over; it keeps the id from being reused. */
-export function encodeClosedJobRow({
-  isCancelled,
-}: {
-  isCancelled: boolean;
-}): string {
-  return encode({ job: undefined, isCancelled });
+export function encodeClosedJobRow(
+  closed: Pick<JobRow, "isCancelled" | "closedMs">,
+): string {
+  return encode({ job: undefined, ...closed });
+}
+
+/** Encodes the outcome of a job. */
+export function encodeEndedJob({ phase, sinceMs }: EndedJob): string {
+  return JSON.stringify({ phase, sinceMs });
+}
+
+/** Parses the outcome of a job. Fault: `Malformed`. */
+export function readEndedJob(row: Pick<Row, "value">): Result<EndedJob, Fault> {
+  return parse<EndedJob>(row.value, { phase: isText, sinceMs: isNumber });
 }
 
 function encode(row: JobRow): string {
@@ -77,7 +107,10 @@
 
 /** Parses a job's row. Fault: `Malformed`. */
 export function readJobRow(row: Pick<Row, "value">): Result<JobRow, Fault> {
-  return parse<JobRow>(row.value, { isCancelled: isBoolean });
+  return parse<JobRow>(row.value, {
+    isCancelled: isBoolean,
+    closedMs: (value) => value === undefined || isNumber(value),
+  });
 }
 
 /** Parses the row of a job's state. Fault: `Malformed`. */
--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -1,5 +1,10 @@
 import type { Clock } from "@laburnumtrack/core/clock";
-import type { ChangedRow, FeedTable } from "@laburnumtrack/core/feed_table";
+import type {
+  ChangedRow,
+  FeedTable,
+  Snapshot,
+} from "@laburnumtrack/core/feed_table";
+import type { Row } from "@laburnumtrack/core/table";
 import type { Job } from "@laburnumtrack/jobs/job";
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { objectiveMs } from "@laburnumtrack/jobs/job_order";
@@ -10,12 +15,17 @@
   readJobRow,
   readState,
 } from "@laburnumtrack/jobs/job_rows";
-import { isFinal, type JobState } from "@laburnumtrack/jobs/job_state";
+import {
+  isFinal,
+  JobPhase,
+  type JobState,
+} from "@laburnumtrack/jobs/job_state";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
 import type { JobRecord } from "@laburnumtrack/jobs/task";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { RowFollower } from "@laburnumtrack/process/row_follower";
+import type { JobHistory } from "./job_history";
 import type { RowCloser } from "./row_closer";
 
 /** Options of a job intake. */
@@ -26,6 +36,7 @@
   readonly metrics: Metrics;
   readonly board: JobBoard;
   readonly closer: RowCloser;
+  readonly history: JobHistory;
   /** The queue configuration that this process uses. */
   readonly config: () => QueueConfig;
   /**
@@ -37,18 +48,26 @@
   readonly onBoardChanged: () => void;
 }
 
+/** A stored state of a job that is not over, with the revision of its row. */
+interface FormerState {
+  readonly state: JobState;
+  readonly revision: number;
+}
+
 /** Adds jobs of the table to the board, and removes those that are finished. */
 export class JobIntake {
   readonly follower: RowFollower;
   readonly #options: JobIntakeOptions;
   /** States that were stored before this term, of jobs not yet on the board. */
-  readonly #formerStates = new Map<string, JobState>();
+  readonly #formerStates = new Map<string, FormerState>();
+  /** Jobs of former leaders that are over, beyond those of the history. */
+  readonly #formerFinals = new Map<string, number>();
+  /** Finished jobs whose rows the reading under way has found. */
+  readonly #readIds = new Set<string>();
   /** Jobs whose stored state cannot be decoded. */
   readonly #unreadable = new Set<string>();
   /** Jobs whose final state is stored and that are still on the board. */
   readonly #removable = new Set<string>();
-  /** Jobs that finished, in this term or before it. */
-  readonly #finished = new Set<string>();
   #configVersion = 0;
 
   constructor(options: JobIntakeOptions) {
@@ -60,28 +79,45 @@
       journal,
       minRevision: minRevision,
       prefix: RowPrefix.Jobs,
-      listener: { onRow: (row) => this.#onRow(row) },
+      isPaged: true,
+      listener: {
+        onSnapshot: (snapshot) => this.#onSnapshot(snapshot),
+        onRow: (row) => this.#onRow(row),
+      },
     });
   }
 
   /** Reads the stored job states; false when the read failed or is outdated. */
   async loadStates(): Promise<boolean> {
     const { table, minRevision } = this.#options;
-    const states = await table.snapshot(RowPrefix.States);
-    // An outdated read may lack the last commits of the former leader.
-    if (states.err || states.val.revision < minRevision) return false;
-    for (const row of states.val.rows) {
-      const state = readState(row);
-      const id = jobIdOfKey(row.key);
-      if (state.ok) this.#formerStates.set(id, state.val);
-      else this.#onUnreadableState(id, state.val.message);
-    }
-    return true;
+    const read = await table.readPages(
+      RowPrefix.States,
+      ({ rows, revision }) => {
+        // An outdated read may lack the last commits of the former leader.
+        if (revision < minRevision) return false;
+        for (const row of rows) this.#onState(row);
+        return true;
+      },
+    );
+    return read.ok && read.val.revision >= minRevision;
+  }
+
+  #onState(row: Row): void {
+    const { history } = this.#options;
+    const id = jobIdOfKey(row.key);
+    const read = readState(row);
+    const { revision } = row;
+    if (read.err) this.#onUnreadableState(id, read.val.message);
+    else if (!isFinal(read.val.phase)) {
+      this.#formerStates.set(id, { state: read.val, revision });
+    } else if (history.hasRoom) {
+      history.onFinalState(id, { ...read.val, revision });
+    } else this.#formerFinals.set(id, revision);
   }
 
   /** Marks a job, whose final state is stored, for removal. */
   onFinalStored(record: JobRecord): void {
-    const { journal, metrics, closer } = this.#options;
+    const { journal, metrics, closer, history } = this.#options;
     const { job, phase, sinceMs, revision } = record;
     journal.info("A job finished.", {
       job: job.id,
@@ -92,8 +128,8 @@
     });
     metrics.count(`jobs_over{phase="${phase}"}`);
     this.#removable.add(job.id);
-    this.#finished.add(job.id);
-    closer.add(job.id, revision);
+    history.onFinalState(job.id, { phase, sinceMs, revision });
+    if (!history.isClosed(job.id)) closer.add(job.id, revision);
   }
 
   /**
@@ -122,34 +158,69 @@
     }
   }
 
+  /** Notes the rows that were removed while the changes were not followed. */
+  #onSnapshot({ revision }: Snapshot): void {
+    this.#options.history.onRowsRead(this.#readIds, revision);
+    this.#readIds.clear();
+    this.#formerFinals.clear();
+  }
+
   #onRow(row: ChangedRow): void {
-    const { board } = this.#options;
+    const { board, history } = this.#options;
     const id = jobIdOfKey(row.key);
-    if (row.value === undefined) return;
+    if (row.value === undefined) {
+      history.onRowRemoved(id);
+      this.#readIds.delete(id);
+      board.onReopened(id);
+      return;
+    }
     const read = readJobRow({ value: row.value });
     if (read.err) {
       this.#onMalformed(row.key, read.val.message);
       return;
     }
-    const { job, isCancelled } = read.val;
+    const { job, isCancelled, closedMs } = read.val;
     if (isCancelled) this.#onCancelled(id);
-    if (job === undefined) board.onClosed(id);
-    if (job === undefined || board.jobs.has(id)) return;
-    // A row may be read again after its job finished.
-    if (this.#finished.has(id) || this.#unreadable.has(id)) return;
-    this.#addJob(job, row.revision);
+    if (job === undefined) this.#onClosed(id, row.revision, closedMs);
+    else this.#onOpen(id, job, row.revision);
+    if (history.has(id)) this.#readIds.add(id);
   }
 
-  #addJob(job: Job, revision: number): void {
-    const { board, clock, closer, config, journal, onBoardChanged } =
-      this.#options;
-    const state = this.#formerStates.get(job.id);
-    this.#formerStates.delete(job.id);
-    if (state !== undefined && isFinal(state.phase)) {
-      this.#finished.add(job.id);
-      closer.add(job.id, revision);
+  /** Handles the row of a job whose tasks may start. */
+  #onOpen(id: string, job: Job, revision: number): void {
+    const { board, closer, history } = this.#options;
+    if (board.jobs.has(id) || this.#unreadable.has(id)) return;
+    const finalRevision = this.#formerFinals.get(id);
+    if (finalRevision !== undefined) history.onFormerFinal(id, finalRevision);
+    if (history.isOver(id, revision)) {
+      // Its final state is stored, but a former leader did not close its row; or
+      // the row is read again.
+      if (!history.isClosed(id)) closer.add(id, revision);
       return;
     }
+    history.forget(id);
+    board.onReopened(id);
+    this.#addJob(job, revision);
+  }
+
+  /** Handles the row of a job none of whose tasks may start any more. */
+  #onClosed(id: string, revision: number, closedMs: number | undefined): void {
+    const { board, clock, history } = this.#options;
+    board.onClosed(id);
+    this.#formerFinals.delete(id);
+    history.onRowClosed(id, { revision, finishedMs: closedMs });
+    const former = this.#formerStates.get(id);
+    this.#formerStates.delete(id);
+    if (former === undefined && !this.#unreadable.has(id)) return;
+    // It was cancelled, and the leader of then did not store that any more.
+    const sinceMs = closedMs ?? clock.wallMs();
+    history.onFinalState(id, { phase: JobPhase.Cancelled, sinceMs, revision });
+  }
+
+  #addJob(job: Job, revision: number): void {
+    const { board, clock, config, journal, onBoardChanged } = this.#options;
+    const state = this.#formerStates.get(job.id)?.state;
+    this.#formerStates.delete(job.id);
     const queue =
       config().queues.find(({ name }) => name === job.queue) ??
       job.queueSettings;
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -18,6 +18,7 @@
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import type { FormerLeases } from "./former_leases";
+import { type JobHistory, MAX_MOVES_PER_COMMIT } from "./job_history";
 import {
   encodeRoster,
   isRosterOf,
@@ -52,6 +53,8 @@
   readonly exportModel: () => object;
   /** Called once the final state of a job is stored. */
   readonly onFinalStored: (record: JobRecord) => void;
+  /** Finished jobs, whose rows are moved and removed with the commits. */
+  readonly history?: JobHistory;
 }
 
 /** What a commit writes about the leadership. */
@@ -73,6 +76,8 @@
 const RETRY_PAUSE_MS = 100;
 /** Interval between two writes of the pressure model, in ms. */
 const MODEL_WRITE_INTERVAL_MS = 2000;
+/** Rows that a commit writes to move the state of a finished job. */
+const WRITES_PER_MOVE = 2;
 /** Most jobs in one commit; the platform accepts at most 100 entries. */
 const MAX_JOBS_PER_COMMIT = 90;
 
@@ -212,6 +217,7 @@
     const isRosterNew =
       this.#isStateLoaded && !isRosterOf(this.#storedRoster, rostered);
     const sentRoster = isRosterNew ? rosterOf(rostered) : this.#storedRoster;
+    const historyWrites = this.#listHistoryWrites(batch.length);
     const sentMs = clock.nowMs();
     // Until this commit is known to have succeeded, it is not known which roster
     // is stored: it may still take effect.
@@ -221,6 +227,7 @@
       writes: [
         leadershipWrite(row),
         ...batch.map(jobStateWrite),
+        ...historyWrites,
         ...this.#createModelWrite(sentMs, isReleased),
         ...(isReleased && isWhole
           ? createRunRows(workers, { epoch: row.epoch, nowMs: sentMs })
@@ -251,10 +258,19 @@
       if (worker.bornMs === bornMs) worker.storedEndNumber = end;
     }
     for (const record of finals) this.#options.onFinalStored(record);
+    this.#options.history?.onWritten(historyWrites);
     this.#onCommitted();
     return true;
   }
 
+  /** Writes about finished jobs for which a commit of `used` jobs has room. */
+  #listHistoryWrites(used: number): Write[] {
+    if (!this.#isStateLoaded) return [];
+    const room = Math.floor((MAX_JOBS_PER_COMMIT - used) / WRITES_PER_MOVE);
+    const { history } = this.#options;
+    return history?.listWrites(Math.min(room, MAX_MOVES_PER_COMMIT)) ?? [];
+  }
+
   /** What the next leader has to know of workers that do not answer. */
   #describeSilent(
     areAllStored: boolean,
--- a/packages/leader/src/row_closer.ts
+++ b/packages/leader/src/row_closer.ts
@@ -11,6 +11,11 @@
 
 /** Pause between two rows, in ms; closing rows is not urgent. */
 const PAUSE_MS = 30;
+/**
+ * Number of waiting rows above which the pause shrinks: open rows of finished
+ * jobs cost the next leader time.
+ */
+const BACKLOG_LIMIT = 100;
 /** Pause when there is no row to close or the table fails, in ms. */
 const IDLE_MS = 500;
 
@@ -38,7 +43,9 @@
     while (!signal.aborted) {
       const [next] = this.#pending;
       const isClosed = next !== undefined && (await this.#close(next));
-      await clock.sleep(isClosed ? PAUSE_MS : IDLE_MS, signal);
+      const backlog = Math.max(BACKLOG_LIMIT, this.#pending.size);
+      const pauseMs = (PAUSE_MS * BACKLOG_LIMIT) / backlog;
+      await clock.sleep(isClosed ? pauseMs : IDLE_MS, signal);
     }
   }
 
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -18,6 +18,7 @@
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import { BackgroundTasks } from "./background_tasks";
 import { FormerLeases } from "./former_leases";
+import { JobHistory } from "./job_history";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
 import { type HeldLeadership, ProgressStore } from "./progress_store";
@@ -47,6 +48,8 @@
   readonly leaderLeaseMs: number;
   /** Time that a task takes to resume from its checkpoint, in ms. */
   readonly restoreMs: number;
+  /** Time for which a finished job stays known to callers, in ms. */
+  readonly jobRetentionMs: number;
   readonly succession: Succession;
 }
 
@@ -113,6 +116,7 @@
   readonly #progress: ProgressStore;
   readonly #leaderLease: LeaderLease;
   readonly #rowCloser: RowCloser;
+  readonly #history: JobHistory;
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
@@ -150,6 +154,12 @@
     });
     this.#board = this.#createBoard();
     this.#rowCloser = new RowCloser({ clock, table });
+    this.#history = new JobHistory({
+      clock,
+      table,
+      retentionMs: options.jobRetentionMs,
+      isOnBoard: (id) => this.#board.jobs.has(id),
+    });
     this.#runMonitor = new RunMonitor({
       ...options,
       board: this.#board,
@@ -159,6 +169,7 @@
       ...options,
       board: this.#board,
       closer: this.#rowCloser,
+      history: this.#history,
       minRevision: start.held.revision,
       onBoardChanged: () => this.#planSignal.set(),
     });
@@ -172,6 +183,7 @@
       jobsKnownMs: () => this.#intake.follower.confirmedMs,
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
+      history: this.#history,
     });
     this.#leaderLease = new LeaderLease({
       clock,
@@ -254,6 +266,7 @@
     });
     this.#background.add(this.#intake.follower.run(termSignal));
     this.#background.add(this.#workers.follower.run(termSignal));
+    this.#background.add(this.#history.run(termSignal));
     this.#background.add(this.#awaitSuccessor(termSignal));
     this.#background.add(this.#startDelayLog.run(termSignal));
     await this.#planUntilOver();
@@ -265,6 +278,7 @@
     return {
       leader: this.#progress.row,
       backlog: this.#progress.backlog,
+      finishedJobs: this.#history.size,
       isSettled: this.#isSettled,
       ...this.#runMonitor.model.export(),
       jobs: [...jobs.values()].map((record) => ({
--- a/packages/process/src/row_follower.ts
+++ b/packages/process/src/row_follower.ts
@@ -34,6 +34,12 @@
    * false.
    */
   readonly preferSnapshots?: boolean;
+  /**
+   * Whether the rows of a snapshot are processed as they arrive, so that many of
+   * them neither fill the memory nor stop the process for long. `onSnapshot` then
+   * follows the rows, and has none. Default false.
+   */
+  readonly isPaged?: boolean;
 }
 
 /** Wait of a long poll; bounds how long a dead connection goes unnoticed. */
@@ -97,9 +103,9 @@
 
   /** Reads a snapshot; false when the call fails or the snapshot is stale. */
   async load(): Promise<boolean> {
-    const { clock, table, prefix, listener } = this.#options;
+    const { clock, prefix, listener } = this.#options;
     const sentMs = clock.nowMs();
-    const read = await catchErrors(() => table.snapshot(prefix));
+    const read = await catchErrors(() => this.#readSnapshot());
     if (read.err) {
       this.#onFailure(read.val.message);
       return false;
@@ -117,6 +123,18 @@
     return true;
   }
 
+  async #readSnapshot(): Promise<Result<Snapshot, Fault>> {
+    const { table, prefix, isPaged = false } = this.#options;
+    if (!isPaged) return await table.snapshot(prefix);
+    const minRevision = this.#minRevision;
+    return await table.readPages(prefix, ({ rows, revision }) => {
+      // The result is then below the least revision, too, and is rejected.
+      if (revision < minRevision) return false;
+      for (const row of rows) this.#notifyRow(row);
+      return true;
+    });
+  }
+
   /** Follows until `signal` is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
