--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -53,6 +53,8 @@
   readonly rightMs?: number;
   /** Ids of the first workers; the others are `w0`, `w1` and so on. */
   readonly workerIds?: readonly string[];
+  /** Time for which a finished job stays known, in ms; longer than a case by default. */
+  readonly jobRetentionMs?: number;
   /** Decodes the entries of workers; by default, each key names a worker. */
   readonly registry?: WorkerRegistry;
   /** Time limit of evacuations in ms; requests are ignored by default. */
@@ -80,6 +82,8 @@
   pools: [{ name: "pool", isGuarded: true, isStandby: false }],
 };
 const DEFAULT_LEASE_MS = 6000;
+/** Longer than any case, whose phases are read at its end. */
+const DEFAULT_JOB_RETENTION_MS = 3_600_000;
 /** How long the leader may send orders after its last commit. */
 const DEFAULT_RIGHT_MS = 3500;
 const RESTORE_MS = 100;
@@ -107,6 +111,7 @@
   readonly #evacuateMs: number;
   readonly #planning: PlanningFeatures | undefined;
   readonly #jobsLimitBytes: number | undefined;
+  readonly #jobRetentionMs: number;
   #processCount = 0;
 
   constructor({
@@ -116,6 +121,7 @@
     leaseMs = DEFAULT_LEASE_MS,
     rightMs = DEFAULT_RIGHT_MS,
     workerIds = [],
+    jobRetentionMs = DEFAULT_JOB_RETENTION_MS,
     registry = new RegistryStandin(),
     evacuateMs = 0,
     planning,
@@ -132,6 +138,7 @@
     this.#evacuateMs = evacuateMs;
     this.#planning = planning;
     this.#jobsLimitBytes = jobsLimitBytes;
+    this.#jobRetentionMs = jobRetentionMs;
     this.fleet = new TaskFleetStandin(this.clock, ids, { maxLeaseMs: leaseMs });
     this.#desk = new JobService({
       clock: this.clock,
@@ -348,6 +355,7 @@
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
       planning: this.#planning,
+      jobRetentionMs: this.#jobRetentionMs,
       member: name,
       instance: `${name}/${this.#processCount}`,
       capacity,
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -367,6 +367,15 @@
       defaultText: "false",
       help: "Whether less urgent runs are stopped where urgent steps would be late.",
     },
+    {
+      key: "job_retention_s",
+      kind: FieldKind.Decimal,
+      unit: "s",
+      min: 1,
+      max: 86_400,
+      defaultText: "120",
+      help: "How long a finished job stays known: its state is answered, and its id does not run again.",
+    },
     {
       key: "processor_share",
       kind: FieldKind.Decimal,
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -20,6 +20,7 @@
 import { EvacuationGuard } from "./evacuation_guard";
 import { EvacuationLog, type EvacuationStatus } from "./evacuation_log";
 import { FormerLeases } from "./former_leases";
+import { JobHistory } from "./job_history";
 import { JobIntake } from "./job_intake";
 import { LeaderLease } from "./leader_lease";
 import { OrderLatency } from "./order_latency";
@@ -61,6 +62,8 @@
   readonly orderResendMs?: number;
   /** Parts of planning that the deployment turns on; none by default. */
   readonly planning?: PlanningFeatures | undefined;
+  /** Time for which a finished job stays known to callers, in ms. */
+  readonly jobRetentionMs: number;
   readonly succession: Succession;
   /**
    * Memory that jobs may occupy in this process, in bytes. If given, the load is
@@ -133,6 +136,7 @@
   readonly #leaderLease: LeaderLease;
   readonly #guard: EvacuationGuard;
   readonly #rowCloser: RowCloser;
+  readonly #history: JobHistory;
   readonly #intake: JobIntake;
   readonly #workers: WorkerGroup;
   readonly #runMonitor: RunMonitor;
@@ -183,6 +187,12 @@
       });
     }
     this.#rowCloser = new RowCloser({ clock, table });
+    this.#history = new JobHistory({
+      clock,
+      table,
+      retentionMs: options.jobRetentionMs,
+      isOnBoard: (id) => this.#board.jobs.has(id),
+    });
     this.#runMonitor = new RunMonitor({
       ...options,
       board: this.#board,
@@ -202,6 +212,7 @@
       ...options,
       board: this.#board,
       closer: this.#rowCloser,
+      history: this.#history,
       minRevision: start.held.revision,
       onBoardChanged: () => this.#planSignal.set(),
     });
@@ -216,6 +227,7 @@
       load: this.#loadMeter && (() => this.#loadMeter?.current ?? {}),
       exportModel: () => this.#runMonitor.model.export(),
       onFinalStored: (record) => this.#intake.onFinalStored(record),
+      history: this.#history,
     });
     this.#leaderLease = new LeaderLease({
       clock,
@@ -313,6 +325,7 @@
     });
     this.#background.add(this.#intake.follower.run(termSignal));
     this.#background.add(this.#workers.follower.run(termSignal));
+    this.#background.add(this.#history.run(termSignal));
     this.#background.add(this.#awaitSuccessor(termSignal));
     this.#background.add(this.#startDelayLog.run(termSignal));
     this.#background.add(this.#evacuationLog.run(termSignal));
@@ -330,6 +343,7 @@
     return {
       leader: this.#progress.row,
       backlog: this.#progress.backlog,
+      finishedJobs: this.#history.size,
       isSettled: this.#isSettled,
       evacuations: this.describeEvacuations(),
       ...this.#runMonitor.model.export(),
