feat(planning): run tasks of very slow runs a second time, or move them

A few runs take many times as long as comparable ones, and their step and all that follow wait for them, although steps may allow copies.

Workers that are known to be slow get new tasks last. The checkpoint of the run that has come further is kept. A run counts once in what is learnt of speeds: a run seven times as slow counted with each report.

--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -12,7 +12,10 @@
 import { createStep, createWorkerInfo } from "@laburnumtrack/jobs/test_samples";
 import { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import { LeaderElection } from "@laburnumtrack/leader/leader_election";
-import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
+import {
+  NO_FEATURES,
+  type PlanningFeatures,
+} from "@laburnumtrack/planning/round_planner";
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
@@ -48,7 +51,7 @@
   /** Decodes the entries of workers; by default, each key names a worker. */
   readonly registry?: WorkerRegistry;
   /** Parts of planning that are turned on; none by default. */
-  readonly planning?: PlanningFeatures;
+  readonly planning?: Partial<PlanningFeatures>;
 }
 
 const QUEUE: Queue = {
@@ -92,7 +95,7 @@
   readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
-  readonly #planning: PlanningFeatures | undefined;
+  readonly #planning: Partial<PlanningFeatures> | undefined;
   #processCount = 0;
 
   constructor({
@@ -296,7 +299,7 @@
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
-      planning: this.#planning,
+      planning: { ...NO_FEATURES, ...this.#planning },
       member: name,
       instance: `${name}/${this.#processCount}`,
       capacity,
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -335,6 +335,13 @@
       defaultText: "false",
       help: "Whether less urgent runs are stopped where urgent steps would be late.",
     },
+    {
+      key: "straggler_copies",
+      kind: FieldKind.Choice,
+      choices: ["false", "true"],
+      defaultText: "false",
+      help: "Whether tasks of very slow runs run a second time, where the job allows it, or move.",
+    },
     {
       key: "processor_share",
       kind: FieldKind.Decimal,
--- a/packages/jobs/src/attempt.ts
+++ b/packages/jobs/src/attempt.ts
@@ -38,6 +38,14 @@
   };
 }
 
+/**
+ * Whether no other run of the task has come further. The checkpoint of a copy
+ * that began later must not replace that of the first run.
+ */
+export function isFurthest({ task, percent }: Attempt): boolean {
+  return task.attempts.every((other) => other.percent <= percent);
+}
+
 /**
  * Records a measurement. Reports repeat a value until the worker takes the next
  * one, so equal values count once per measurement interval.
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -1,4 +1,4 @@
-import { createAttempt, recordMeasurement } from "./attempt";
+import { createAttempt, isFurthest, recordMeasurement } from "./attempt";
 import type {
   AddJobOptions,
   BoardListener,
@@ -311,7 +311,9 @@
     if (targetMs === 0 || running.measurement <= targetMs) {
       attempt.overSinceMs = undefined;
     } else attempt.overSinceMs ??= nowMs;
-    if (running.checkpoint !== "") task.checkpoint = running.checkpoint;
+    if (running.checkpoint !== "" && isFurthest(attempt)) {
+      task.checkpoint = running.checkpoint;
+    }
     const isOver = isFinal(record.phase) || task.isDone;
     if (isOver || attempt.phase === AttemptPhase.Stopping) {
       this.stop(attempt, "its job or task is over");
@@ -394,10 +396,13 @@
     if (record === undefined || task === undefined) return;
     task.wasAtWork = true;
     task.lastRun = Math.max(task.lastRun, ended.run);
-    if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
     const attempt = task.attempts.find(
       (one) => one.worker === worker && one.run === ended.run,
     );
+    const isBehind = attempt !== undefined && !isFurthest(attempt);
+    if (ended.checkpoint !== "" && !isBehind) {
+      task.checkpoint = ended.checkpoint;
+    }
     if (attempt !== undefined) this.#detach(attempt);
     this.#listener.onEnd(task, ended, worker);
     if (isFinal(record.phase) || task.isDone) return;
--- a/packages/jobs/src/planning_aid.ts
+++ b/packages/jobs/src/planning_aid.ts
@@ -14,6 +14,8 @@
 export abstract class PlanningAid {
   /** Whether room is held for the task until a time; it stays reserved. */
   abstract isHeld(task: Task): boolean;
+  /** How much slower the worker is than others, from 0 to 1; 0 if unknown. */
+  abstract slownessOf(worker: WorkerRecord): number;
   /** Whether a task of the job was stopped for others and waits to resume. */
   abstract isResuming(record: JobRecord): boolean;
   /**
--- a/packages/jobs/src/step_candidates.ts
+++ b/packages/jobs/src/step_candidates.ts
@@ -1,5 +1,6 @@
 import { type CostLimitOptions, costLimitOf } from "./cost_limit";
 import type { InterferenceModel } from "./interference_model";
+import type { PlanningAid } from "./planning_aid";
 import type { StepRun } from "./task";
 import { type FitContext, scoreFit } from "./worker_fit";
 import type { WorkerRecord } from "./worker_record";
@@ -7,6 +8,7 @@
 /** Input of {@linkcode StepCandidates} besides step and workers. */
 export interface CandidateOptions extends CostLimitOptions {
   readonly model: InterferenceModel;
+  readonly aid?: PlanningAid | undefined;
 }
 
 /**
@@ -97,11 +99,12 @@
   }
 
   #createContext(): FitContext {
-    const { nowMs, model } = this.#options;
+    const { nowMs, model, aid } = this.#options;
     return {
       siblingRack: findSiblingRack(this.#stepRun),
       model,
       nowMs,
+      aid,
       costLimit: costLimitOf(this.#stepRun, this.#options),
     };
   }
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -1,5 +1,6 @@
 import { type InterferenceModel, listFillers } from "./interference_model";
 import type { Step } from "./job";
+import type { PlanningAid } from "./planning_aid";
 import type { StepRun } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -17,6 +18,8 @@
 const FILLER_PENALTY = 1;
 /** Penalty for each task of the same long-running step on the worker. */
 const SAME_STEP_PENALTY = 0.25;
+/** Penalty for a worker that is known to be much slower than others. */
+const SLOW_WORKER_PENALTY = 2;
 
 /** Input of a placement decision besides step and worker. */
 export interface FitContext {
@@ -26,6 +29,7 @@
   readonly nowMs: number;
   /** Highest interference cost that a filler may add on a worker. */
   readonly costLimit: number;
+  readonly aid?: PlanningAid | undefined;
 }
 
 /**
@@ -35,7 +39,7 @@
 export function scoreFit(
   stepRun: StepRun,
   worker: WorkerRecord,
-  { siblingRack, model, nowMs, costLimit }: FitContext,
+  { siblingRack, model, nowMs, costLimit, aid }: FitContext,
 ): number | undefined {
   const { step } = stepRun;
   if (!hasRoom(stepRun, worker)) return undefined;
@@ -57,6 +61,7 @@
   score -= cost * INTERFERENCE_PENALTY;
   if (step.isFiller && worker.serving.size > 0) score -= SHARED_WORKER_PENALTY;
   if (step.targetMs > 0) score += scoreServing(step, worker, model);
+  if (aid !== undefined) score -= aid.slownessOf(worker) * SLOW_WORKER_PENALTY;
   if (step.isLongRunning) {
     score -= countOnWorker(stepRun, worker) * SAME_STEP_PENALTY;
   }
--- a/packages/leader/src/planned_rounds.ts
+++ b/packages/leader/src/planned_rounds.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@laburnumtrack/core/clock";
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
 import type { PlanOptions } from "@laburnumtrack/jobs/start_planner";
-import type { Attempt } from "@laburnumtrack/jobs/task";
+import type { Attempt, Task } from "@laburnumtrack/jobs/task";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Preempting } from "@laburnumtrack/planning/preemption";
 import {
@@ -44,8 +44,10 @@
 
   /** Plans a round, requests its stops, and returns the starts to be sent. */
   plan(options: PlanOptions): readonly Attempt[] {
-    const { starts, preempting } = this.#planner.plan(options);
+    const { starts, preempting, stragglers } = this.#planner.plan(options);
     for (const one of preempting) this.#preempt(one);
+    for (const copy of stragglers.copies) this.#logCopy(copy);
+    for (const move of stragglers.moves) this.#move(move);
     return starts;
   }
 
@@ -67,6 +69,33 @@
     });
     for (const victim of victims) board.stop(victim, "preempted");
   }
+
+  #logCopy({ task, run, worker }: Attempt): void {
+    const { journal, metrics } = this.#options;
+    metrics.count("straggler_copies");
+    journal.info("A second run of a task starts, as its first one is slow.", {
+      ...describe(task),
+      run,
+      worker: worker.id,
+      slow: task.attempts.filter((one) => one.run !== run).map(describeVictim),
+    });
+  }
+
+  #move(attempt: Attempt): void {
+    const { journal, metrics, board } = this.#options;
+    metrics.count("straggler_moves");
+    journal.info("A run on a slow worker stops, to resume on another one.", {
+      ...describe(attempt.task),
+      run: attempt.run,
+      worker: attempt.worker.id,
+      percent: attempt.percent,
+    });
+    board.stop(attempt, "much slower than others");
+  }
+}
+
+function describe({ stepRun, index }: Task) {
+  return { job: stepRun.record.job.id, step: stepRun.number, task: index };
 }
 
 function describeVictim({ task, run, worker, percent }: Attempt): string {
--- a/packages/planning/src/round_planner.ts
+++ b/packages/planning/src/round_planner.ts
@@ -13,16 +13,25 @@
 import { type Preempting, Preemption } from "./preemption";
 import { RoomHolds } from "./room_holds";
 import { StopRules, type TermOrigin } from "./stop_rules";
+import { type StragglerPlan, Stragglers } from "./stragglers";
 import { Timeline } from "./timeline";
 
 /** Parts of planning that a deployment turns on. */
 export interface PlanningFeatures {
   /** Less urgent runs are stopped where urgent steps miss their objectives. */
   readonly isPreempting: boolean;
+  /** Tasks of runs far behind others run a second time, or move. */
+  readonly isCopying: boolean;
 }
 
 /** Starts are planned from what is free at the moment. */
-export const NO_FEATURES: PlanningFeatures = { isPreempting: false };
+export const NO_FEATURES: PlanningFeatures = {
+  isPreempting: false,
+  isCopying: false,
+};
+
+/** Workers up to this speed are avoided; little differences are chance. */
+const MAX_SLOW_SPEED = 0.85;
 
 /** Options of {@linkcode RoundPlanner}. */
 export interface RoundPlannerOptions {
@@ -38,8 +47,11 @@
   readonly starts: readonly Attempt[];
   /** Runs to stop for more urgent steps. */
   readonly preempting: readonly Preempting[];
+  readonly stragglers: StragglerPlan;
 }
 
+const NO_STRAGGLERS: StragglerPlan = { copies: [], moves: [] };
+
 /** Plans starts, and what it takes to make room for them. */
 export class RoundPlanner extends PlanningAid {
   readonly timeline = new Timeline();
@@ -47,6 +59,10 @@
   readonly rules: StopRules;
   readonly #options: RoundPlannerOptions;
   readonly #preemption: Preemption;
+  readonly #stragglers: Stragglers;
+  /** Pools in which tasks found no room in this round. */
+  readonly #crowdedPools = new Set<string>();
+  #nowMs = 0;
 
   constructor(options: RoundPlannerOptions) {
     super();
@@ -57,6 +73,11 @@
       rules: this.rules,
       restoreMs: options.restoreMs,
     });
+    this.#stragglers = new Stragglers({
+      ...options,
+      timeline: this.timeline,
+      rules: this.rules,
+    });
   }
 
   /** Learns from a report of the worker that was applied to the board. */
@@ -69,10 +90,13 @@
   plan(options: PlanOptions): RoundPlan {
     const { board } = this.#options;
     if (this.#isIdle) {
-      return { starts: planStarts(board, options), preempting: [] };
+      const starts = planStarts(board, options);
+      return { starts, preempting: [], stragglers: NO_STRAGGLERS };
     }
     const { nowMs, limit } = options;
     const outlook = new RoundOutlook(this.timeline, nowMs);
+    this.#nowMs = nowMs;
+    this.#crowdedPools.clear();
     this.holds.sweep(nowMs);
     this.#preemption.begin({ ...options, outlook });
     const ready = this.holds.startReady(board, options);
@@ -81,25 +105,42 @@
       limit: limit - ready.length,
       aid: this,
     });
-    return {
-      starts: [...ready, ...others],
-      preempting: this.#preemption.end(),
-    };
+    const starts = [...ready, ...others];
+    const preempting = this.#preemption.end();
+    const stragglers = this.#options.features.isCopying
+      ? this.#stragglers.plan({
+          ...options,
+          crowdedPools: this.#crowdedPools,
+          limit: limit - starts.length,
+        })
+      : NO_STRAGGLERS;
+    starts.push(...stragglers.copies);
+    return { starts, preempting, stragglers };
   }
 
   override isHeld(task: Task): boolean {
     return this.holds.isHeld(task);
   }
 
+  override slownessOf(worker: WorkerRecord): number {
+    if (!this.#options.features.isCopying) return 0;
+    const speed = this.timeline.speeds.speedOf(worker, this.#nowMs);
+    return speed > MAX_SLOW_SPEED ? 0 : 1 - speed;
+  }
+
   override isResuming(record: JobRecord): boolean {
     return this.#preemption.isResuming(record);
   }
 
   override onUnplaced(unplaced: UnplacedStep): void {
-    this.#preemption.onUnplaced(unplaced);
+    this.#crowdedPools.add(unplaced.stepRun.record.queue?.pool ?? "");
+    if (this.#options.features.isPreempting) {
+      this.#preemption.onUnplaced(unplaced);
+    }
   }
 
   get #isIdle(): boolean {
-    return !this.#options.features.isPreempting;
+    const { isPreempting, isCopying } = this.#options.features;
+    return !isPreempting && !isCopying;
   }
 }
--- a/packages/planning/src/timeline.ts
+++ b/packages/planning/src/timeline.ts
@@ -46,8 +46,8 @@
   readonly ratios = new DurationRatios();
   readonly speeds = new WorkerSpeeds();
   readonly #firsts = new WeakMap<Attempt, FirstProgress>();
-  /** `progressMs` of each attempt that was learnt from last. */
-  readonly #learntMs = new WeakMap<Attempt, number>();
+  /** Runs that were learnt from: a slow one must not count again and again. */
+  readonly #learnt = new WeakSet<Attempt>();
 
   /** Learns from the progress in a report of the worker. */
   onReport(worker: WorkerRecord, nowMs: number): void {
@@ -105,13 +105,17 @@
     return isKnown ? percent / spentMs : undefined;
   }
 
-  /**
-   * Time over which progress of a run was observed, in ms, including the time
-   * since its progress last changed.
-   */
-  observedMs(attempt: Attempt, nowMs: number): number {
+  /** Progress in percent since the first report of the run. */
+  gainedPercent(attempt: Attempt): number {
+    const first = this.#firsts.get(attempt);
+    return first === undefined ? 0 : attempt.percent - first.percent;
+  }
+
+  /** Time over which the progress of a run was observed, in ms. */
+  observedMs(attempt: Attempt, reportedMs: number): number {
     const first = this.#firsts.get(attempt);
-    return first === undefined ? 0 : nowMs - first.atMs;
+    if (first === undefined) return 0;
+    return Math.max(reportedMs, attempt.progressMs) - first.atMs;
   }
 
   /**
@@ -150,10 +154,10 @@
       this.#firsts.set(attempt, { percent, atMs: progressMs });
       return;
     }
-    if (this.#learntMs.get(attempt) === progressMs) return;
+    if (this.#learnt.has(attempt)) return;
     const perMs = this.percentPerMs(attempt);
     if (perMs === undefined || step.estimateMs <= 0) return;
-    this.#learntMs.set(attempt, progressMs);
+    this.#learnt.add(attempt);
     const ratio = 100 / perMs / step.estimateMs;
     const usual = this.ratios.ratioOf(task.stepRun);
     this.speeds.observe(worker, usual / ratio, nowMs);
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -89,6 +89,9 @@
   readonly hasProgress: boolean;
   /** Time that a run takes to stop, in ms. */
   readonly stopMs: number;
+  /** How many times as long the first run of the task with that index takes. */
+  readonly slowFactor: number;
+  readonly slowIndex: number;
 }
 
 /** Duration of a call, in ms. */
@@ -269,6 +272,16 @@
     });
   }
 
+  #workOf({ task, spec }: StartOrder): Work {
+    const work = parseWork(spec);
+    const { slowFactor, slowIndex, workMs } = work;
+    const key = taskKey(task);
+    const runs = this.history.filter((record) => record.task === key).length;
+    // The history holds the run that starts.
+    const isSlow = task.index === slowIndex && runs === 1;
+    return isSlow ? { ...work, workMs: workMs * slowFactor } : work;
+  }
+
   /** Progress of a run in percent, if it reports any, else a value that grows. */
   #percentOf({ work, record, resumedMs }: ActiveRun): number {
     const workedMs = this.#clock.nowMs() - record.startMs;
@@ -301,7 +314,7 @@
       end: undefined,
     };
     this.history.push(record);
-    const work = parseWork(order.spec);
+    const work = this.#workOf(order);
     const run: ActiveRun = {
       name: order.task,
       record,
@@ -489,6 +502,8 @@
     isGang: params.has("gang"),
     hasProgress: params.has("progress"),
     stopMs: Number(params.get("stop") ?? 0),
+    slowFactor: Number(params.get("slow") ?? 1),
+    slowIndex: Number(params.get("slowIndex") ?? 0),
   };
 }
 
