feat(planning): reserve room ahead for the most urgent step that does not fit

A step with large tasks starves where smaller work takes each piece of room that becomes free: at 0.9 of a pool's capacity, a quarter of the jobs with tasks of 12 to 14 of 16 cores miss their objectives.

Other work uses the room until then if it ends in time.

--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -2,6 +2,7 @@
 import { benchControl } from "./control_bench";
 import { benchGateway } from "./gateway_bench";
 import { benchLeader } from "./leader_bench";
+import { benchLookahead } from "./lookahead_bench";
 import { type BenchReport, renderReport } from "./report";
 import { benchRouting } from "./routing_bench";
 import { benchSharedVms } from "./shared_vm_bench";
@@ -16,6 +17,7 @@
   ["control", benchControl],
   ["leader", benchLeader],
   ["shared_vms", benchSharedVms],
+  ["lookahead", benchLookahead],
 ]);
 
 /** Runs one benchmark; `only` limits it to the named points, if it has any. */
--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -342,6 +342,13 @@
       defaultText: "false",
       help: "Whether tasks of very slow runs run a second time, where the job allows it, or move.",
     },
+    {
+      key: "lookahead",
+      kind: FieldKind.Choice,
+      choices: ["false", "true"],
+      defaultText: "false",
+      help: "Whether room is reserved ahead for the most urgent step that does not fit.",
+    },
     {
       key: "processor_share",
       kind: FieldKind.Decimal,
--- a/packages/jobs/src/planning_aid.ts
+++ b/packages/jobs/src/planning_aid.ts
@@ -1,3 +1,4 @@
+import type { Resources } from "@laburnumtrack/core/resources";
 import type { JobRecord, StepRun, Task } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -16,6 +17,10 @@
   abstract isHeld(task: Task): boolean;
   /** How much slower the worker is than others, from 0 to 1; 0 if unknown. */
   abstract slownessOf(worker: WorkerRecord): number;
+  /** Resources of the worker that are held for later than the step takes. */
+  abstract backfillOf(stepRun: StepRun, worker: WorkerRecord): Resources;
+  /** Whether there may be such resources on any worker. */
+  abstract canBackfill(stepRun: StepRun): boolean;
   /** Whether a task of the job was stopped for others and waits to resume. */
   abstract isResuming(record: JobRecord): boolean;
   /**
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -201,7 +201,8 @@
     stepRun.step,
     costLimit,
   );
-  if (isKnownFailure && !hasOwnRoom) return undefined;
+  const canBackfill = options.aid?.canBackfill(stepRun) ?? false;
+  if (isKnownFailure && !hasOwnRoom && !canBackfill) return undefined;
   return new StepCandidates(stepRun, pool.workers, limited);
 }
 
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -1,3 +1,4 @@
+import { NO_RESOURCES } from "@laburnumtrack/core/resources";
 import { type InterferenceModel, listFillers } from "./interference_model";
 import type { Step } from "./job";
 import type { PlanningAid } from "./planning_aid";
@@ -42,7 +43,7 @@
   { siblingRack, model, nowMs, costLimit, aid }: FitContext,
 ): number | undefined {
   const { step } = stepRun;
-  if (!hasRoom(stepRun, worker)) return undefined;
+  if (!hasRoom(stepRun, worker, aid)) return undefined;
   const cost = step.isFiller
     ? model.interferenceCostOf(step, worker, nowMs, costLimit)
     : 0;
@@ -69,19 +70,26 @@
 }
 
 /** Whether the worker meets the step's constraints and has enough resources. */
-function hasRoom(stepRun: StepRun, worker: WorkerRecord): boolean {
+function hasRoom(
+  stepRun: StepRun,
+  worker: WorkerRecord,
+  aid: PlanningAid | undefined,
+): boolean {
   const { step } = stepRun;
   const { capacity, labels } = worker.info;
   if (worker.isDedicated) return false;
   const { cpuMilli, memoryMb, accelerators } = step.resources;
+  const isBackfilling = aid !== undefined && worker.reservations.size > 0;
+  const later = isBackfilling ? aid.backfillOf(stepRun, worker) : NO_RESOURCES;
   if (step.requiredLabel !== "" && !labels.includes(step.requiredLabel)) {
     return false;
   }
-  if (worker.memoryMb + memoryMb > capacity.memoryMb) return false;
-  if (worker.accelerators + accelerators > capacity.accelerators) return false;
-  if (!step.isFiller && worker.cpuMilli + cpuMilli > capacity.cpuMilli) {
-    return false;
-  }
+  const takenMilli = worker.cpuMilli - later.cpuMilli;
+  const takenMb = worker.memoryMb - later.memoryMb;
+  const takenCount = worker.accelerators - later.accelerators;
+  if (takenMb + memoryMb > capacity.memoryMb) return false;
+  if (takenCount + accelerators > capacity.accelerators) return false;
+  if (!step.isFiller && takenMilli + cpuMilli > capacity.cpuMilli) return false;
   return (
     step.perWorkerLimit === 0 ||
     countOnWorker(stepRun, worker) < step.perWorkerLimit
--- a/packages/planning/src/room_holds.ts
+++ b/packages/planning/src/room_holds.ts
@@ -13,6 +13,8 @@
   readonly worker: WorkerRecord;
   /** Monotonic ms. */
   readonly untilMs: number;
+  /** Monotonic ms at which the room is expected to be free, if looked ahead. */
+  readonly startMs: number;
 }
 
 /** Input of {@linkcode RoomHolds.startReady} besides the board. */
@@ -40,10 +42,24 @@
   }
 
   /** Holds room for a task on a worker; what it held elsewhere is released. */
-  hold(task: Task, worker: WorkerRecord, untilMs: number): void {
+  hold(
+    task: Task,
+    worker: WorkerRecord,
+    untilMs: number,
+    startMs = Number.NEGATIVE_INFINITY,
+  ): void {
     releaseRoom(task);
     reserveRoom(task, [], worker);
-    this.#holds.set(task, { worker, untilMs });
+    this.#holds.set(task, { worker, untilMs, startMs });
+  }
+
+  /**
+   * Monotonic ms at which the room held for the task is expected to be free;
+   * minus infinity if others may not use it until then.
+   */
+  startMsOf(task: Task): number {
+    const hold = this.isHeld(task) ? this.#holds.get(task) : undefined;
+    return hold?.startMs ?? Number.NEGATIVE_INFINITY;
   }
 
   /** Releases the room that is held for a task. */
--- a/packages/planning/src/round_planner.ts
+++ b/packages/planning/src/round_planner.ts
@@ -1,3 +1,4 @@
+import type { Resources } from "@laburnumtrack/core/resources";
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
 import {
   PlanningAid,
@@ -7,8 +8,14 @@
   type PlanOptions,
   planStarts,
 } from "@laburnumtrack/jobs/start_planner";
-import type { Attempt, JobRecord, Task } from "@laburnumtrack/jobs/task";
+import type {
+  Attempt,
+  JobRecord,
+  StepRun,
+  Task,
+} from "@laburnumtrack/jobs/task";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import { Lookahead } from "./lookahead";
 import { RoundOutlook } from "./pool_outlook";
 import { type Preempting, Preemption } from "./preemption";
 import { RoomHolds } from "./room_holds";
@@ -22,12 +29,15 @@
   readonly isPreempting: boolean;
   /** Tasks of runs far behind others run a second time, or move. */
   readonly isCopying: boolean;
+  /** Room is reserved ahead for the most urgent step that does not fit. */
+  readonly isLookingAhead: boolean;
 }
 
 /** Starts are planned from what is free at the moment. */
 export const NO_FEATURES: PlanningFeatures = {
   isPreempting: false,
   isCopying: false,
+  isLookingAhead: false,
 };
 
 /** Workers up to this speed are avoided; little differences are chance. */
@@ -60,6 +70,7 @@
   readonly #options: RoundPlannerOptions;
   readonly #preemption: Preemption;
   readonly #stragglers: Stragglers;
+  readonly #lookahead: Lookahead;
   /** Pools in which tasks found no room in this round. */
   readonly #crowdedPools = new Set<string>();
   #nowMs = 0;
@@ -73,6 +84,10 @@
       rules: this.rules,
       restoreMs: options.restoreMs,
     });
+    this.#lookahead = new Lookahead({
+      holds: this.holds,
+      timeline: this.timeline,
+    });
     this.#stragglers = new Stragglers({
       ...options,
       timeline: this.timeline,
@@ -97,7 +112,8 @@
     const outlook = new RoundOutlook(this.timeline, nowMs);
     this.#nowMs = nowMs;
     this.#crowdedPools.clear();
-    this.holds.sweep(nowMs);
+    const expired = this.holds.sweep(nowMs);
+    this.#lookahead.begin({ nowMs, outlook, expired });
     this.#preemption.begin({ ...options, outlook });
     const ready = this.holds.startReady(board, options);
     const others = planStarts(board, {
@@ -128,19 +144,27 @@
     return speed > MAX_SLOW_SPEED ? 0 : 1 - speed;
   }
 
+  override backfillOf(stepRun: StepRun, worker: WorkerRecord): Resources {
+    return this.#lookahead.backfillOf(stepRun, worker);
+  }
+
+  override canBackfill(stepRun: StepRun): boolean {
+    return this.#lookahead.canBackfill(stepRun);
+  }
+
   override isResuming(record: JobRecord): boolean {
     return this.#preemption.isResuming(record);
   }
 
   override onUnplaced(unplaced: UnplacedStep): void {
     this.#crowdedPools.add(unplaced.stepRun.record.queue?.pool ?? "");
-    if (this.#options.features.isPreempting) {
-      this.#preemption.onUnplaced(unplaced);
-    }
+    const { isPreempting, isLookingAhead } = this.#options.features;
+    if (isPreempting && this.#preemption.onUnplaced(unplaced)) return;
+    if (isLookingAhead) this.#lookahead.onUnplaced(unplaced);
   }
 
   get #isIdle(): boolean {
-    const { isPreempting, isCopying } = this.#options.features;
-    return !isPreempting && !isCopying;
+    const { isPreempting, isCopying, isLookingAhead } = this.#options.features;
+    return !isPreempting && !isCopying && !isLookingAhead;
   }
 }
