perf(planning): bound the search for room, and skip workers a task failed on

In a burst, each round sought room again for every urgent step that got none, and computed the ends of all runs of the pool for it. A search that found none now counts for 40 ms for all steps that need as much, the ends are computed when a worker is looked at, and the sums are plain numbers.

Room is not held any more on a worker on which the task has failed, and a task under which workers were lost meanwhile does not start in held room.

--- a/packages/bench/src/leader_bench.ts
+++ b/packages/bench/src/leader_bench.ts
@@ -27,13 +27,23 @@
   readonly startsPerS: number;
   /** Number of other entry processes that relay calls; 0 by default. */
   readonly relays?: number;
+  /** Settings that are turned on; none by default. */
+  readonly settings?: readonly string[];
 }
 
+const PLANNING = ["preemption", "straggler_copies", "lookahead"];
+
 const POINTS: readonly Point[] = [
   { name: "100_workers_idle", workers: 100, startsPerS: 0 },
   { name: "100_workers", workers: 100, startsPerS: 250 },
   { name: "380_workers_idle", workers: 380, startsPerS: 0 },
   { name: "380_workers", workers: 380, startsPerS: 1000 },
+  {
+    name: "380_workers_planned",
+    workers: 380,
+    startsPerS: 1000,
+    settings: PLANNING,
+  },
   {
     name: "380_workers_relayed",
     workers: 380,
@@ -184,6 +194,7 @@
       `processor_speed = ${index === 0 ? 2 : 1}`,
       `relay_min_workers = ${isRelayed ? 1 : 1_000_000}`,
       "shutdown_ms = 1000",
+      ...(this.#point.settings ?? []).map((key) => `${key} = true`),
     ];
     writeFileSync(settings, lines.join("\n"));
     const profile = process.env.BENCH_PROFILE;
--- a/packages/planning/src/lookahead.ts
+++ b/packages/planning/src/lookahead.ts
@@ -103,7 +103,7 @@
     const places = this.#findPlaces(stepRun, outlook.of(pool, workers), nowMs);
     const chosen: Task[] = [];
     for (const task of wanted) {
-      const place = soonestOf(places.values());
+      const place = soonestOf(places.values(), task);
       if (place === undefined) break;
       const { outlook: at, roomMs } = place;
       const waitMs = roomMs - nowMs;
@@ -211,9 +211,14 @@
   return { outlook, roomMs };
 }
 
-function soonestOf(places: Iterable<FuturePlace>): FuturePlace | undefined {
+/** The soonest place on a worker on which the task has not failed. */
+function soonestOf(
+  places: Iterable<FuturePlace>,
+  { failedOn }: Task,
+): FuturePlace | undefined {
   let best: FuturePlace | undefined;
   for (const place of places) {
+    if (failedOn.has(place.outlook.worker.id)) continue;
     if (best === undefined || place.roomMs < best.roomMs) best = place;
   }
   return best;
--- a/packages/planning/src/lookahead_test.ts
+++ b/packages/planning/src/lookahead_test.ts
@@ -17,6 +17,7 @@
   readonly jobs: readonly Omit<TestJob, "submittedMs">[];
   readonly running?: Partial<Step>;
   readonly isOff?: boolean;
+  readonly prepare?: (steps: readonly StepRun[]) => void;
   /** Expected starts as `job.task worker`. */
   readonly starts?: readonly string[];
   /** Room that is held, as `job.task worker`. */
@@ -76,6 +77,12 @@
     starts: ["short.0 w0"],
     held: ["large.0 w0", "large.1 w1"],
   },
+  {
+    name: "no room is held where the task has failed before",
+    jobs: [{ id: "large", step: LARGE }],
+    prepare: ([large]) => large?.tasks[0]?.failedOn.add("w0"),
+    held: ["large.0 w1"],
+  },
   {
     name: "no room is held on workers without the label of the step",
     jobs: [{ id: "large", step: { ...LARGE, requiredLabel: "ssd" } }],
@@ -240,6 +247,7 @@
   const steps = given.jobs.map((job, index) =>
     board.addJob({ ...job, submittedMs: 100 + index }),
   );
+  given.prepare?.(steps);
   const planner = new RoundPlanner({
     board: board.board,
     features: { ...NO_FEATURES, isLookingAhead: given.isOff !== true },
--- a/packages/planning/src/pool_outlook.ts
+++ b/packages/planning/src/pool_outlook.ts
@@ -22,18 +22,28 @@
 /** What becomes free on a worker, as seen in one planning round. */
 export class WorkerOutlook {
   readonly worker: WorkerRecord;
-  /** In order of their latest ends. */
-  readonly runs: readonly OutlookRun[];
   /** Runs that were chosen to be stopped in this round. */
   readonly claimed = new Set<Attempt>();
+  readonly #timeline: Timeline;
   readonly #nowMs: number;
+  #runs: readonly OutlookRun[] | undefined;
 
   constructor(worker: WorkerRecord, timeline: Timeline, nowMs: number) {
     this.worker = worker;
+    this.#timeline = timeline;
     this.#nowMs = nowMs;
-    this.runs = [...worker.attempts]
-      .map((attempt) => ({ attempt, ...timeline.expectedEnd(attempt, nowMs) }))
+  }
+
+  /** In order of their latest ends; starts of this round may be missing. */
+  get runs(): readonly OutlookRun[] {
+    this.#runs ??= [...this.worker.attempts]
+      .map((attempt) => {
+        const end = this.#timeline.expectedEnd(attempt, this.#nowMs);
+        const { expectedMs, latestMs } = end;
+        return { attempt, expectedMs, latestMs };
+      })
       .sort((a, b) => a.latestMs - b.latestMs);
+    return this.#runs;
   }
 
   /** Free resources now; negative where reservations wait for runs to end. */
@@ -66,13 +76,20 @@
    * else starts; undefined if the ends of too many runs are unknown.
    */
   findRoomMs(needs: Resources): number | undefined {
-    let { free } = this;
-    if (isWithin(needs, free)) return this.#nowMs;
+    const { free } = this;
+    // Plain numbers: this is computed for each worker and step in a round.
+    let lackMilli = needs.cpuMilli - free.cpuMilli;
+    let lackMb = needs.memoryMb - free.memoryMb;
+    let lackCount = needs.accelerators - free.accelerators;
+    if (lackMilli <= 0 && lackMb <= 0 && lackCount <= 0) return this.#nowMs;
     for (const { attempt, latestMs } of this.runs) {
       if (!Number.isFinite(latestMs)) return undefined;
       if (this.claimed.has(attempt)) continue;
-      free = addResources(free, reservedBy(attempt.task.stepRun.step));
-      if (isWithin(needs, free)) return latestMs;
+      const { resources, isFiller } = attempt.task.stepRun.step;
+      if (!isFiller) lackMilli -= resources.cpuMilli;
+      lackMb -= resources.memoryMb;
+      lackCount -= resources.accelerators;
+      if (lackMilli <= 0 && lackMb <= 0 && lackCount <= 0) return latestMs;
     }
     return undefined;
   }
--- a/packages/planning/src/preemption.ts
+++ b/packages/planning/src/preemption.ts
@@ -76,6 +76,8 @@
 const MAX_STEPS_PER_ROUND = 24;
 /** How long it is remembered which priorities run in a pool, in ms. */
 const PRIORITY_AGE_MS = 100;
+/** Time for which steps are not tried that need as much as a failed one, in ms. */
+const RETRY_INTERVAL_MS = 40;
 
 /** A place for one task: a worker, and the runs to stop there. */
 interface Place {
@@ -106,8 +108,8 @@
   #round: PreemptionRound | undefined;
   #plans: Preempting[] = [];
   #triedSteps = 0;
-  /** Resources for which no room could be made in this round, by pool. */
-  #failed = new Map<string, Resources[]>();
+  /** Resources for which no room could be made lately, by pool. */
+  readonly #failed = new Map<string, FailedSearch[]>();
 
   constructor(options: PreemptionOptions) {
     this.#options = options;
@@ -118,7 +120,6 @@
     this.#round = round;
     this.#plans = [];
     this.#triedSteps = 0;
-    this.#failed = new Map();
     this.#resuming = new Set();
     for (const [task, run] of this.#stopped) {
       const isOver =
@@ -155,8 +156,11 @@
     const slackMs = slackOf(stepRun, round.wallMs);
     if (slackMs < 0 || this.#triedSteps >= MAX_STEPS_PER_ROUND) return false;
     const needs = reservedBy(stepRun.step);
-    const failed = this.#failed.get(poolName) ?? [];
-    if (failed.some((smaller) => isWithin(smaller, needs))) return false;
+    const failed = (this.#failed.get(poolName) ?? []).filter(
+      ({ atMs }) => round.nowMs - atMs < RETRY_INTERVAL_MS,
+    );
+    const isHopeless = failed.some((one) => isWithin(one.needs, needs));
+    if (isHopeless) return false;
     this.#triedSteps += 1;
     const { nowMs, outlook } = round;
     const leftMilli = this.#budget.leftMilli(
@@ -174,7 +178,9 @@
     if (!search.holdAll(tasks)) {
       const isUnlimited =
         stepRun.step.perWorkerLimit === 0 && stepRun.step.requiredLabel === "";
-      if (isUnlimited) this.#failed.set(poolName, [...failed, needs]);
+      if (isUnlimited) {
+        this.#failed.set(poolName, [...failed, { needs, atMs: nowMs }]);
+      }
       return false;
     }
     const { victims } = search;
@@ -211,6 +217,13 @@
   }
 }
 
+/** A search for room that found none. */
+interface FailedSearch {
+  readonly needs: Resources;
+  /** Monotonic ms. */
+  readonly atMs: number;
+}
+
 interface SearchOptions extends PreemptionRound, PreemptionOptions {
   readonly outlooks: readonly WorkerOutlook[];
   readonly slackMs: number;
@@ -249,7 +262,7 @@
       if (place !== undefined) places.set(outlook, place);
     }
     for (const task of tasks) {
-      const place = cheapestOf(places.values());
+      const place = cheapestOf(places.values(), task);
       if (place === undefined || this.stoppedMilli > this.#options.leftMilli) {
         this.#undo();
         return false;
@@ -346,9 +359,14 @@
   }
 }
 
-function cheapestOf(places: Iterable<Place>): Place | undefined {
+/** The cheapest place on a worker on which the task has not failed. */
+function cheapestOf(
+  places: Iterable<Place>,
+  { failedOn }: Task,
+): Place | undefined {
   let best: Place | undefined;
   for (const place of places) {
+    if (failedOn.has(place.outlook.worker.id)) continue;
     if (best === undefined || place.cost < best.cost) best = place;
   }
   return best;
--- a/packages/planning/src/preemption_test.ts
+++ b/packages/planning/src/preemption_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { LossEvidence } from "@laburnumtrack/jobs/crash_losses";
 import { InterferenceModel } from "@laburnumtrack/jobs/interference_model";
 import type { Step } from "@laburnumtrack/jobs/job";
 import type { Attempt, StepRun } from "@laburnumtrack/jobs/task";
@@ -163,6 +164,13 @@
     stopped: [],
     held: 0,
   },
+  {
+    name: "room is not made where the task has failed before",
+    workers: 2,
+    prepare: ({ urgent }) => urgent.tasks[0]?.failedOn.add("w0"),
+    stopped: [2],
+    held: 1,
+  },
   {
     name: "at most 10% of a pool's cores are stopped in a second",
     workers: 10,
@@ -220,6 +228,31 @@
   assert.ok(victim.worker.cpuMilli <= 16_000, "capacity is kept");
 });
 
+// Guards against a start that is not isolated, although it may crash its worker.
+test("preemption: a task that may crash its worker does not start in held room", () => {
+  const world = createWorld({ workers: 1 });
+  world.stopAll(world.plan(NOW_MS));
+  const [victim] = world.runs;
+  const [task] = world.urgent.tasks;
+  assert.ok(victim && task);
+  const machine = { workerId: "x", address: "x:1", bornMs: 1 };
+  const evidence = LossEvidence.Restarted;
+  for (const run of [1, 2]) {
+    task.losses.push({ ...machine, run, evidence, isLate: false });
+  }
+  world.end(victim, RunEnd.Stopped, NOW_MS + 200);
+  assert.deepEqual(
+    world.planner.holds.startReady(world.board.board, {
+      nowMs: NOW_MS + 210,
+      wallMs: NOW_MS + 210,
+      limit: 9,
+      isUsable: () => true,
+      areRunsKnown: () => true,
+    }),
+    [],
+  );
+});
+
 // Guards against room that is made for an urgent step and taken by other work.
 test("preemption: the room stays open to the urgent step only", () => {
   const world = createWorld({ workers: 1 });
--- a/packages/planning/src/room_holds.ts
+++ b/packages/planning/src/room_holds.ts
@@ -95,6 +95,8 @@
         worker !== undefined &&
         this.isHeld(task) &&
         isWaiting(task, nowMs) &&
+        // What may crash its worker is placed by other rules.
+        task.losses.length === 0 &&
         // The tasks of a gang start together, which the planner does.
         !task.stepRun.step.isGang &&
         areRunsKnown(task.stepRun.record) &&
