--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -17,7 +17,10 @@
   WorkerRegistry,
 } from "@laburnumtrack/jobs/worker_registry";
 import { LeaderElection } from "@laburnumtrack/leader/leader_election";
-import type { PlanningFeatures } from "@laburnumtrack/planning/round_planner";
+import {
+  NO_FEATURES,
+  type PlanningFeatures,
+} from "@laburnumtrack/planning/round_planner";
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
@@ -60,7 +63,7 @@
   /** Time limit of evacuations in ms; requests are ignored by default. */
   readonly evacuateMs?: number;
   /** Parts of planning that are turned on; none by default. */
-  readonly planning?: PlanningFeatures;
+  readonly planning?: Partial<PlanningFeatures>;
   /** Memory that jobs may occupy in a leader; by default, no load is stored. */
   readonly jobsLimitBytes?: number;
 }
@@ -108,8 +111,8 @@
   readonly #capacities: readonly number[];
   readonly #leaseMs: number;
   readonly #rightMs: number;
+  readonly #planning: Partial<PlanningFeatures> | undefined;
   readonly #evacuateMs: number;
-  readonly #planning: PlanningFeatures | undefined;
   readonly #jobsLimitBytes: number | undefined;
   readonly #jobRetentionMs: number;
   #processCount = 0;
@@ -354,7 +357,7 @@
       leaseMs: this.#leaseMs,
       leaderLeaseMs: this.#rightMs,
       restoreMs: RESTORE_MS,
-      planning: this.#planning,
+      planning: { ...NO_FEATURES, ...this.#planning },
       jobRetentionMs: this.#jobRetentionMs,
       member: name,
       instance: `${name}/${this.#processCount}`,
--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -1,5 +1,7 @@
+import { NO_RESOURCES } from "@laburnumtrack/core/resources";
 import { type InterferenceModel, listFillers } from "./interference_model";
 import type { Step } from "./job";
+import type { PlanningAid } from "./planning_aid";
 import type { StepRun } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
@@ -27,6 +29,8 @@
 const MAX_COLD_IDLE_MS = 1000;
 /** Penalty for each task of the same long-running step on the worker. */
 const SAME_STEP_PENALTY = 0.25;
+/** Penalty for a worker that is known to be much slower than others. */
+const SLOW_WORKER_PENALTY = 2;
 
 /** Input of a placement decision besides step and worker. */
 export interface FitContext {
@@ -36,6 +40,7 @@
   readonly nowMs: number;
   /** Highest interference cost that a filler may add on a worker. */
   readonly costLimit: number;
+  readonly aid?: PlanningAid | undefined;
 }
 
 /**
@@ -45,10 +50,10 @@
 export function scoreFit(
   stepRun: StepRun,
   worker: WorkerRecord,
-  { siblingRack, model, nowMs, costLimit }: FitContext,
+  { siblingRack, model, nowMs, costLimit, aid }: FitContext,
 ): number | undefined {
   const { step } = stepRun;
-  if (!hasRoom(stepRun, worker)) return undefined;
+  if (!hasRoom(stepRun, worker, aid)) return undefined;
   if (worker.isAtColdLimit && !mayOverloadCold(stepRun, nowMs)) {
     return undefined;
   }
@@ -71,6 +76,7 @@
   score -= worker.coldness * COLD_PENALTY;
   if (step.isFiller && worker.serving.size > 0) score -= SHARED_WORKER_PENALTY;
   if (step.targetMs > 0) score += scoreServing(step, worker, model);
+  if (aid !== undefined) score -= aid.slownessOf(worker) * SLOW_WORKER_PENALTY;
   if (step.isLongRunning) {
     score -= countOnWorker(stepRun, worker) * SAME_STEP_PENALTY;
   }
@@ -78,19 +84,26 @@
 }
 
 /** Whether the worker meets the step's constraints and has enough resources. */
-function hasRoom(stepRun: StepRun, worker: WorkerRecord): boolean {
+function hasRoom(
+  stepRun: StepRun,
+  worker: WorkerRecord,
+  aid: PlanningAid | undefined,
+): boolean {
   const { step } = stepRun;
   const { capacity, labels } = worker.info;
   if (worker.isDedicated) return false;
   const { cpuMilli, memoryMb, accelerators } = step.resources;
+  const isBackfilling = aid !== undefined && worker.reservations.size > 0;
+  const later = isBackfilling ? aid.backfillOf(stepRun, worker) : NO_RESOURCES;
   if (step.requiredLabel !== "" && !labels.includes(step.requiredLabel)) {
     return false;
   }
-  if (worker.memoryMb + memoryMb > capacity.memoryMb) return false;
-  if (worker.accelerators + accelerators > capacity.accelerators) return false;
-  if (!step.isFiller && worker.cpuMilli + cpuMilli > capacity.cpuMilli) {
-    return false;
-  }
+  const takenMilli = worker.cpuMilli - later.cpuMilli;
+  const takenMb = worker.memoryMb - later.memoryMb;
+  const takenCount = worker.accelerators - later.accelerators;
+  if (takenMb + memoryMb > capacity.memoryMb) return false;
+  if (takenCount + accelerators > capacity.accelerators) return false;
+  if (!step.isFiller && takenMilli + cpuMilli > capacity.cpuMilli) return false;
   return (
     step.perWorkerLimit === 0 ||
     countOnWorker(stepRun, worker) < step.perWorkerLimit
