--- a/packages/faults/src/evacuation_cases_test.ts
+++ b/packages/faults/src/evacuation_cases_test.ts
@@ -65,6 +65,16 @@
     },
     graceMs: 500,
   },
+  {
+    name: "the leader, in that domain, is lost some time after the request",
+    act: async (world) => {
+      await world.evacuate("a");
+      await world.advance(1000);
+      world.leader?.clock.freeze(60_000);
+      for (const id of ["a-0", "a-1"]) world.fleet.crash(id);
+    },
+    graceMs: 0,
+  },
   {
     name: "the value of the request is empty",
     act: (world) => world.writeRow("op/evacuate/a", ""),
--- a/packages/relay/src/relay_test.ts
+++ b/packages/relay/src/relay_test.ts
@@ -99,7 +99,8 @@
     },
   },
   {
-    // The relay may know of an evacuation before the leader does.
+    // The relay may know of an evacuation before the leader does. All relays may
+    // stand in that domain themselves; the other domains still need them.
     name: "a start in an evacuated domain is refused, other calls are not",
     act: async (world) => {
       world.evacuated.add("x");
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -16,6 +16,7 @@
 const WORKER_ID_CASES = "packages/faults/src/worker_id_cases_test.ts";
 const REGISTRY_CASES = "platform/src/platform_registry_test.ts";
 const TABLE_CASES = "platform/src/platform_table_test.ts";
+const EVACUATION_CASES = "packages/faults/src/evacuation_cases_test.ts";
 const KNOWLEDGE_CASES = "packages/faults/src/takeover_knowledge_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
@@ -710,6 +711,48 @@
     to: "",
     test: KNOWLEDGE_CASES,
   },
+  {
+    name: "evacuation: no start in an evacuated domain",
+    file: "packages/leader/src/evacuation_guard.ts",
+    from: "return !evacuations?.isEvacuated(worker.info.failureDomain);",
+    to: "return true;",
+    test: EVACUATION_CASES,
+  },
+  {
+    name: "evacuation: orders are short",
+    file: "packages/leader/src/evacuation_guard.ts",
+    from: "const MAX_START_WINDOW_MS = 2000;",
+    to: "const MAX_START_WINDOW_MS = 6000;",
+    test: EVACUATION_CASES,
+  },
+  {
+    name: "evacuation: tasks move within the limit of their step",
+    file: "packages/jobs/src/evacuation.ts",
+    from: "if (next > limit) return false;",
+    to: "",
+    test: "packages/faults/src/evacuation_moves_test.ts",
+  },
+  {
+    name: "evacuation: nothing is stopped without room elsewhere",
+    file: "packages/jobs/src/migrations.ts",
+    from: "return isRoomFree(attempt.task);",
+    to: "return true;",
+    test: "packages/faults/src/evacuation_moves_test.ts",
+  },
+  {
+    name: "evacuation: entries tell each other",
+    file: "packages/config/src/config_exchange.ts",
+    from: "if (evacuations === undefined) return;",
+    to: "return;",
+    test: "packages/config/src/evacuation_exchange_test.ts",
+  },
+  {
+    name: "cold workers have a limit",
+    file: "packages/jobs/src/worker_fit.ts",
+    from: "worker.isAtColdLimit && !mayOverloadCold(stepRun, nowMs)",
+    to: "worker.isAtColdLimit && false",
+    test: "packages/jobs/src/cold_ramp_test.ts",
+  },
   {
     name: "room stays reserved over a backoff of its worker",
     file: "packages/jobs/src/reservations.ts",
