fix(leader): stop a whole gang when one of its starts is withdrawn

A start that is withdrawn right before its order, since its worker has another domain by now, left the other tasks of its gang waiting in vain. They are stopped with it. The planner keeps failures of steps that may overload cold workers apart only where there are cold workers, so that other deployments plan as before.

The new case fails without the change.

--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -58,7 +58,10 @@
   const pools = groupUsableByPool(board, options);
   const failures = new PlacementFailures();
   // Failures of other steps say nothing of those that may overload cold workers.
-  const relaxedFailures = new PlacementFailures();
+  const hasColdLimits = [...board.workers.values()].some(({ coldTaskLimit }) =>
+    Number.isFinite(coldTaskLimit),
+  );
+  const relaxedFailures = hasColdLimits ? new PlacementFailures() : failures;
   for (const record of rankJobs(board, options)) {
     if (!options.areRunsKnown(record)) continue;
     const pool = pools.get(record.queue?.pool ?? "");
--- a/packages/leader/src/evacuation_guard_test.ts
+++ b/packages/leader/src/evacuation_guard_test.ts
@@ -100,6 +100,27 @@
   });
 }
 
+// Guards against a gang of which one task is withdrawn and the others start.
+test("evacuation guard: a gang is stopped when one of its starts is withdrawn", async () => {
+  const world = createWorld();
+  const { board, evacuations, stops, worker, port } = world;
+  const elsewhere = board.addWorker(
+    createWorkerInfo("x", { failureDomain: "other" }),
+  );
+  const tasks = addTasks(world, createStep({ count: 2, isGang: true }));
+  const [first] = tasks.map((task, index) =>
+    board.onSent(task, 1, index === 0 ? worker : elsewhere, 0),
+  );
+  assert.ok(first);
+  evacuations.onChange(REQUEST, true);
+  await world.send(first);
+  assert.equal(port.orders.length, 0);
+  assert.deepEqual(
+    stops.map(({ task }) => task.index),
+    [0, 1],
+  );
+});
+
 const WINDOW_CASES: readonly {
   readonly name: string;
   readonly isEnabled: boolean;
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -178,8 +178,13 @@
 
   /** Gives up a start on a worker whose failure domain is evacuated. */
   #withdraw(attempt: Attempt, isUncertain: boolean): void {
-    const { board, clock, metrics, onBoardChanged } = this.#options;
+    const { board, clock, metrics, guard, onBoardChanged } = this.#options;
     metrics.count("evacuation_withdrawn_starts");
+    if (attempt.task.stepRun.step.isGang) {
+      // The other tasks of the gang must not wait for this one.
+      guard.stopOpenStarts();
+      return;
+    }
     // An earlier try of the same order may still take effect.
     if (isUncertain) board.stop(attempt, "its failure domain is evacuated");
     else board.onRefused(attempt, clock.nowMs());
