--- a/packages/leader/src/cold_runs_test.ts
+++ b/packages/leader/src/cold_runs_test.ts
@@ -27,19 +27,8 @@
   // Guards against workers that are set aside because runs are slow, and fail,
   // right after their start.
   test(`cold runs: after failures of several jobs ${name}`, () => {
-    const board = new JobBoard(
-      { onChanged() {}, onStop() {}, onEnd() {} },
-      { runFloor: 0, allJobsKnownMs: 0 },
-    );
-    const monitor = new RunMonitor({
-      clock: new VirtualClock(),
-      table: new MemoryTable(),
-      journal: createJournal("test", "fatal"),
-      metrics: new Metrics(),
-      board,
-      restoreMs: 100,
-      sendPace() {},
-    });
+    const board = createBoard();
+    const monitor = createMonitor(board);
     const worker = board.addWorker(createWorkerInfo("w"));
     worker.coldness = coldness;
     for (let job = 0; job < 6; job += 1) {
@@ -65,3 +54,41 @@
     assert.equal(monitor.hasProbeRoom(worker, 0), isUsed);
   });
 }
+
+for (const { coldness, observed } of [
+  { coldness: 0, observed: 1 },
+  { coldness: 0.5, observed: 0 },
+]) {
+  // Guards against estimates that are learnt from slow starts.
+  test(`cold runs: reports of a worker with coldness ${coldness} are learnt from ${observed} times`, () => {
+    const board = createBoard();
+    const monitor = createMonitor(board);
+    const worker = board.addWorker(createWorkerInfo("w"));
+    worker.coldness = coldness;
+    let calls = 0;
+    monitor.model.observe = () => {
+      calls += 1;
+    };
+    monitor.onReport(worker);
+    assert.equal(calls, observed);
+  });
+}
+
+function createBoard(): JobBoard {
+  return new JobBoard(
+    { onChanged() {}, onStop() {}, onEnd() {} },
+    { runFloor: 0, allJobsKnownMs: 0 },
+  );
+}
+
+function createMonitor(board: JobBoard): RunMonitor {
+  return new RunMonitor({
+    clock: new VirtualClock(),
+    table: new MemoryTable(),
+    journal: createJournal("test", "fatal"),
+    metrics: new Metrics(),
+    board,
+    restoreMs: 100,
+    sendPace() {},
+  });
+}
