--- a/packages/desk/src/submission.ts
+++ b/packages/desk/src/submission.ts
@@ -70,9 +70,11 @@
 const ANSWER_WAIT_MS = 400;
 /**
  * Time before the deadline from which a job that may be stored is refused for
- * good instead of stored, in ms; enough for two calls without an answer.
+ * good instead of stored, in ms; enough for several calls without an answer.
  */
 const REFUSE_WINDOW_MS = 1000;
+/** The same as `ANSWER_WAIT_MS` in that window, where few calls are left, in ms. */
+const REFUSE_ANSWER_WAIT_MS = 200;
 /** Most refused submissions that a tombstone lists; callers try four times. */
 const MAX_LISTED_SUBMISSIONS = 8;
 
@@ -127,7 +129,8 @@
         if (done instanceof Fault) fault = done;
         return done === Progress.RowRead ? Progress.RowRead : Progress.Failed;
       });
-      const progress = await this.#wait(call, ANSWER_WAIT_MS);
+      const waitMs = this.#mustRefuse ? REFUSE_ANSWER_WAIT_MS : ANSWER_WAIT_MS;
+      const progress = await this.#wait(call, waitMs);
       if (this.#result !== undefined) return this.#result;
       if (progress === undefined && route === Route.Table) {
         this.#options.access.onFailed();
@@ -155,6 +158,12 @@
     return [...this.#open].some(({ base }) => base >= this.#highest);
   }
 
+  /** Whether the job is refused for good, as no time is left to store it. */
+  get #mustRefuse(): boolean {
+    const { clock, deadlineMs } = this.#options;
+    return this.#isUncertain && deadlineMs - clock.nowMs() < REFUSE_WINDOW_MS;
+  }
+
   /** Waits for a call, the result or the time limit; undefined without the call. */
   async #wait<T>(call: Promise<T>, limitMs: number): Promise<T | undefined> {
     const { clock, deadlineMs } = this.#options;
@@ -165,9 +174,8 @@
 
   /** Sends one commit: of the job, or of the tombstone when time runs out. */
   async #commit(): Promise<Progress | Fault> {
-    const { clock, table, access, deadlineMs, job } = this.#options;
-    const leftMs = deadlineMs - clock.nowMs();
-    const isRefusal = this.#isUncertain && leftMs < REFUSE_WINDOW_MS;
+    const { table, access, job } = this.#options;
+    const isRefusal = this.#mustRefuse;
     const commit = { base: this.#base };
     if (!isRefusal) this.#open.add(commit);
     const done = await table.commit({
