bench(planning): play bursts of a less urgent queue with preemption

The bench of lookahead had queues of one priority only, so that it did not show what preemption gains in a burst. Two patterns with an urgent and a less urgent queue play it now, with stops, checkpoints and restarts.

--- a/packages/bench/src/lookahead_bench.ts
+++ b/packages/bench/src/lookahead_bench.ts
@@ -1,5 +1,6 @@
 import { NO_FEATURES } from "@laburnumtrack/planning/round_planner";
 import {
+  BURST_PATTERNS,
   LOOKAHEAD_PATTERNS,
   type LookaheadPattern,
 } from "./lookahead_patterns";
@@ -21,6 +22,24 @@
   // The same cores in one worker, on which free room never is in pieces.
   { name: "merged", features: NO_FEATURES, isMerged: true },
 ];
+/** Policies that concern queues of different priorities. */
+const BURST_POLICIES: readonly LookaheadPolicy[] = [
+  ...POLICIES,
+  {
+    name: "preemption",
+    features: { ...NO_FEATURES, isPreempting: true },
+    isMerged: false,
+  },
+  {
+    name: "both",
+    features: { ...NO_FEATURES, isPreempting: true, isLookingAhead: true },
+    isMerged: false,
+  },
+];
+const CASES = [
+  ...LOOKAHEAD_PATTERNS.map((pattern) => ({ pattern, policies: POLICIES })),
+  ...BURST_PATTERNS.map((pattern) => ({ pattern, policies: BURST_POLICIES })),
+];
 const PERCENTILES = [50, 95, 99];
 
 /** Compares how steps that do not fit are planned, in virtual time. */
@@ -28,9 +47,9 @@
   only: readonly string[] = [],
 ): Promise<BenchReport> {
   const rows: BenchRow[] = [];
-  for (const pattern of LOOKAHEAD_PATTERNS) {
+  for (const { pattern, policies } of CASES) {
     if (only.length > 0 && !only.includes(pattern.name)) continue;
-    for (const policy of POLICIES) {
+    for (const policy of policies) {
       const results = SEEDS.map((seed) => runLookahead(pattern, policy, seed));
       rows.push({
         profile: "pool",
@@ -52,6 +71,7 @@
   const figures: Record<string, number> = {
     utilization: round(mean(({ utilization }) => utilization)),
     planMs: round(mean(({ planMs }) => planMs)),
+    stopped: round(mean(({ stopped }) => stopped)),
   };
   for (const { name } of kinds) {
     const all = results.flatMap((one) => one.kinds.get(name) ?? []);
