feat(jobs): expand occurrences when they are due, release them when done

Cause: createJobRecord created the tasks of all occurrences at intake, each with two sets. A schedule of 43,200 occurrences, or 200 of the largest jobs, filled the heap of each process that became the leader. Change: occurrences are expanded when they become due, as many as maxExpandedOccurrences allows; the tasks of a step are created when it is ready and released once it is done, the occurrence once all its steps are. Reports of released tasks find them again, as done. Stored states list occurrences that are over as ranges and finished tasks as ranges; rows of earlier releases are read. Tests of jobs, leader and the takeover, lease, crash and cancel cases pass.

--- a/packages/jobs/src/crash_losses.ts
+++ b/packages/jobs/src/crash_losses.ts
@@ -1,4 +1,5 @@
 import { isFinal } from "./job_state";
+import { listStepRuns } from "./occurrences";
 import type { Attempt, JobRecord, Task } from "./task";
 import type { RegisteredWorker } from "./task_worker";
 import type { WorkerRecord } from "./worker_record";
@@ -360,5 +361,7 @@
 }
 
 function tasksOf(record: JobRecord): Task[] {
-  return record.occurrences.flat().flatMap(({ tasks }) => tasks);
+  return listStepRuns(record).flatMap((stepRun) =>
+    stepRun.hasTasks ? stepRun.tasks : [],
+  );
 }
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -8,6 +8,7 @@
 import type { Job } from "./job";
 import { createJobRecord, findTask } from "./job_record";
 import { isFinal, JobPhase } from "./job_state";
+import { listStepRuns } from "./occurrences";
 import {
   type Attempt,
   AttemptPhase,
@@ -463,7 +464,8 @@
   #finish(record: JobRecord, phase: JobPhase, wallMs: number): void {
     record.phase = phase;
     record.sinceMs = wallMs;
-    for (const stepRun of record.occurrences.flat()) {
+    for (const stepRun of listStepRuns(record)) {
+      if (!stepRun.hasTasks) continue;
       for (const task of stepRun.tasks) {
         for (const attempt of [...task.attempts]) {
           this.stop(attempt, `job is ${phase}`);
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -1,4 +1,5 @@
 import { criticalPathMs, isLongRunning, type Job } from "./job";
+import { listStepRuns } from "./occurrences";
 import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
 
 /** Time within which a job should complete, in ms. */
@@ -45,7 +46,10 @@
   return {
     isInterrupted:
       isLongRunning(record.job) &&
-      record.occurrences.flat().some(({ tasks }) => tasks.some(isInterrupted)),
+      listStepRuns(record).some(
+        (stepRun) =>
+          stepRun.step.isLongRunning && stepRun.tasks.some(isInterrupted),
+      ),
     // The result of a long-running job never expires.
     isExpired:
       !isLongRunning(record.job) && wallMs > fromMs + EXPIRY_FACTOR * objective,
@@ -76,11 +80,13 @@
   const { job } = record;
   if (isLongRunning(job) || job.repeat !== undefined) return false;
   let leftMs = 0;
-  for (const stepRun of record.occurrences.flat()) {
+  for (const stepRun of listStepRuns(record)) {
     if (isStepDone(stepRun)) continue;
-    const isStarted = stepRun.tasks.every(
-      ({ isDone, attempts }) => isDone || attempts.length > 0,
-    );
+    const isStarted =
+      stepRun.hasTasks &&
+      stepRun.tasks.every(
+        ({ isDone, attempts }) => isDone || attempts.length > 0,
+      );
     // The remaining time of a started step is unknown and may be short.
     const ownMs = isStarted ? stepRun.step.estimateMs : 0;
     leftMs = Math.max(leftMs, remainingPathMs(stepRun) - ownMs);
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -1,4 +1,5 @@
 import { LossEvidence } from "./crash_losses";
+import { IndexRanges, readRanges } from "./index_ranges";
 import { countOccurrences, type Job } from "./job";
 import {
   isFinal,
@@ -7,6 +8,7 @@
   type StepProgress,
   type StoredLoss,
 } from "./job_state";
+import { findOccurrence, listStepRuns } from "./occurrences";
 import type { QueueSettings } from "./queue_config";
 import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
 
@@ -26,7 +28,9 @@
   job: Job,
   options: JobRecordOptions,
 ): JobRecord {
-  const { revision, queue, state } = options;
+  const { revision, queue, state, runFloor } = options;
+  const occurrences = Math.ceil(countOccurrences(job));
+  const doneOccurrences = readRanges(state?.doneOccurrences, occurrences);
   const record: JobRecord = {
     job,
     revision,
@@ -34,58 +38,58 @@
     phase: state?.phase ?? JobPhase.Queued,
     sinceMs: state?.sinceMs ?? job.submittedMs,
     occurrences: [],
-    openSteps: 0,
+    doneOccurrences,
+    nextOccurrence: 0,
+    // Which tasks of a job ran under former leaders is not stored.
+    newTasks: { runFloor, wasAtWork: state?.phase === JobPhase.Running },
+    openSteps: (occurrences - doneOccurrences.size) * job.steps.length,
   };
-  const occurrences = countOccurrences(job);
-  for (let occurrence = 0; occurrence < occurrences; occurrence += 1) {
-    const steps = job.steps.map((step, number) => {
-      const stepRun: StepRun = {
-        record,
-        occurrence,
-        number,
-        step,
-        tasks: [],
-        doneCount: 0,
-        idleSinceMs: undefined,
-      };
-      for (let index = 0; index < step.count; index += 1) {
-        stepRun.tasks.push(createTask(stepRun, index, options));
-      }
-      return stepRun;
-    });
-    record.occurrences.push(steps);
-    record.openSteps += steps.length;
-  }
   for (const progress of state?.steps ?? []) applyProgress(record, progress);
-  for (const stepRun of record.occurrences.flat()) {
-    if (isStepDone(stepRun)) record.openSteps -= 1;
+  for (const stepRun of listStepRuns(record)) {
+    const isOver = doneOccurrences.has(stepRun.occurrence);
+    if (!isOver && isStepDone(stepRun)) record.openSteps -= 1;
   }
+  if (!doneOccurrences.has(0)) findOccurrence(record, 0);
   return record;
 }
 
 /** Returns the progress of a job as it is to be stored. */
 export function stateOf(record: JobRecord): JobState {
-  const steps: StepProgress[] = [];
+  const { phase, sinceMs, job, doneOccurrences } = record;
+  const state: JobState = { phase, queue: job.queue, sinceMs, steps: [] };
   // The progress of a finished job is not needed any more.
-  const stepRuns = isFinal(record.phase) ? [] : record.occurrences.flat();
-  for (const stepRun of stepRuns) {
-    const done: number[] = [];
-    const failures: [number, number[]][] = [];
-    const losses: StoredLoss[] = [];
+  if (isFinal(phase)) return state;
+  const steps: StepProgress[] = [];
+  for (const stepRun of listStepRuns(record)) {
+    if (doneOccurrences.has(stepRun.occurrence)) continue;
+    const progress = progressOf(stepRun);
+    if (progress !== undefined) steps.push(progress);
+  }
+  const done = doneOccurrences.list();
+  const optional = done.length > 0 ? { doneOccurrences: done } : {};
+  return { ...state, steps, ...optional };
+}
+
+/** Progress of a step; undefined if there is none. */
+function progressOf(stepRun: StepRun): StepProgress | undefined {
+  const { occurrence, number: step } = stepRun;
+  const done = new IndexRanges();
+  const failures: [number, number[]][] = [];
+  const losses: StoredLoss[] = [];
+  if (isStepDone(stepRun)) done.add(0, stepRun.step.count - 1);
+  else if (!stepRun.hasTasks) return undefined;
+  else {
     for (const task of stepRun.tasks) {
-      losses.push(...storedLossesOf(task));
-      if (task.isDone) done.push(task.index);
-      else if (task.failedRuns.size > 0) {
+      for (const loss of storedLossesOf(task)) losses.push(loss);
+      if (task.isDone) done.add(task.index);
+      else if (task.hasFailed) {
         failures.push([task.index, [...task.failedRuns]]);
       }
     }
-    if (done.length + failures.length + losses.length === 0) continue;
-    const { occurrence, number: step } = stepRun;
-    const optional = losses.length > 0 ? { losses } : {};
-    steps.push({ occurrence, step, done, failures, ...optional });
   }
-  const { phase, sinceMs, job } = record;
-  return { phase, queue: job.queue, sinceMs, steps };
+  if (done.size + failures.length + losses.length === 0) return undefined;
+  const optional = losses.length > 0 ? { losses } : {};
+  return { occurrence, step, done: done.list(), failures, ...optional };
 }
 
 /** Finds a task by its indices; undefined if the job has no such task. */
@@ -93,42 +97,27 @@
   record: JobRecord,
   place: { occurrence: number; step: number; index: number },
 ): Task | undefined {
-  const stepRun = record.occurrences[place.occurrence]?.[place.step];
-  return stepRun?.tasks[place.index];
-}
-
-function createTask(
-  stepRun: StepRun,
-  index: number,
-  { runFloor, state }: JobRecordOptions,
-): Task {
-  // Which tasks of a job ran under former leaders is not stored.
-  const wasAtWork = state?.phase === JobPhase.Running;
-  return {
-    stepRun,
-    index,
-    isDone: false,
-    failedRuns: new Set(),
-    failedOn: new Set(),
-    losses: [],
-    wasAtWork,
-    lastRun: runFloor,
-    checkpoint: "",
-    attempts: [],
-    reservedOn: undefined,
-    notBeforeMs: Number.NEGATIVE_INFINITY,
-  };
+  const stepRun = findOccurrence(record, place.occurrence)?.[place.step];
+  if (stepRun === undefined || !(place.index < stepRun.step.count)) {
+    return undefined;
+  }
+  return stepRun.tasks[place.index];
 }
 
 /** Marks stored completed tasks as done and restores their failed runs. */
 function applyProgress(record: JobRecord, progress: StepProgress): void {
-  const stepRun = record.occurrences[progress.occurrence]?.[progress.step];
+  const steps = findOccurrence(record, progress.occurrence);
+  const stepRun = steps?.[progress.step];
   if (stepRun === undefined) return;
-  for (const index of progress.done) {
-    const task = stepRun.tasks[index];
-    if (task === undefined || task.isDone) continue;
-    task.isDone = true;
-    stepRun.doneCount += 1;
+  const { count } = stepRun.step;
+  const done = readRanges(progress.done, count);
+  if (done.size === count && !stepRun.hasTasks) stepRun.doneCount = count;
+  else if (done.size > 0) {
+    for (const task of stepRun.tasks) {
+      if (task.isDone || !done.has(task.index)) continue;
+      task.isDone = true;
+      stepRun.doneCount += 1;
+    }
   }
   for (const [index, runs] of progress.failures) {
     for (const run of runs) stepRun.tasks[index]?.failedRuns.add(run);
@@ -168,9 +157,9 @@
 
 /** Whether any task of the job may be running. */
 export function hasAttempts(record: JobRecord): boolean {
-  return record.occurrences.some((steps) =>
-    steps.some(({ tasks }) =>
-      tasks.some(({ attempts }) => attempts.length > 0),
-    ),
+  return listStepRuns(record).some(
+    (stepRun) =>
+      stepRun.hasTasks &&
+      stepRun.tasks.some(({ attempts }) => attempts.length > 0),
   );
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -1,4 +1,5 @@
 import type { LossEvidence } from "./crash_losses";
+import type { IndexRange } from "./index_ranges";
 
 /** Phase of a job, as reported to callers. */
 export enum JobPhase {
@@ -28,8 +29,8 @@
 export interface StepProgress {
   readonly occurrence: number;
   readonly step: number;
-  /** Indices of tasks that are done. */
-  readonly done: readonly number[];
+  /** Tasks that are done; rows of earlier releases have indices only. */
+  readonly done: readonly IndexRange[];
   /**
    * Numbers of the failed runs, by task index. They are stored so that a
    * failure that is reported again does not count twice.
@@ -49,6 +50,11 @@
   /** Unix ms of the last phase change. */
   readonly sinceMs: number;
   readonly steps: readonly StepProgress[];
+  /**
+   * Occurrences all of whose steps are done; `steps` lacks them. Missing if there
+   * is none, and in rows of earlier releases.
+   */
+  readonly doneOccurrences?: readonly IndexRange[];
 }
 
 /** Whether the job is over: no more of its tasks will start. */
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -1,7 +1,6 @@
 import { costLimitOf } from "./cost_limit";
 import { isOverLossLimit } from "./crash_losses";
 import type { InterferenceModel } from "./interference_model";
-import { earliestStartMsOf } from "./job";
 import type { JobBoard } from "./job_board";
 import {
   compareRanks,
@@ -11,6 +10,7 @@
 } from "./job_order";
 import { hasAttempts } from "./job_record";
 import { isFinal } from "./job_state";
+import { expandDue, isDue, listStepRuns } from "./occurrences";
 import { PlacementFailures } from "./placement_failures";
 import { isRoomFree, releaseRoom, reserveRoom } from "./reservations";
 import { StepCandidates } from "./step_candidates";
@@ -58,6 +58,7 @@
   const pools = groupUsableByPool(board, options);
   const placementFailures = new PlacementFailures();
   for (const record of rankJobs(board, options)) {
+    expandDue(record, options.wallMs);
     if (!options.areRunsKnown(record)) continue;
     const pool = pools.get(record.queue?.pool ?? "");
     if (pool === undefined) continue;
@@ -72,14 +73,10 @@
 /** Lists the unfinished steps of a job that may start now. */
 export function listReadySteps(record: JobRecord, wallMs: number): StepRun[] {
   const ready: StepRun[] = [];
-  for (const [occurrence, steps] of record.occurrences.entries()) {
-    // Only repeated jobs wait for a time: `submittedMs` comes from another VM,
-    // whose clock may be ahead of this one.
-    const isTimed = record.job.repeat !== undefined;
-    if (isTimed && earliestStartMsOf(record.job, occurrence) > wallMs) continue;
-    for (const stepRun of steps) {
-      if (!isStepDone(stepRun) && isStepReady(stepRun)) ready.push(stepRun);
-    }
+  for (const stepRun of listStepRuns(record)) {
+    // An occurrence of which runs were reported may be expanded before its time.
+    if (!isDue(record.job, stepRun.occurrence, wallMs)) continue;
+    if (!isStepDone(stepRun) && isStepReady(stepRun)) ready.push(stepRun);
   }
   return ready;
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -1,4 +1,5 @@
 import type { Loss } from "./crash_losses";
+import type { IndexRanges } from "./index_ranges";
 import type { Job, Step } from "./job";
 import type { JobPhase } from "./job_state";
 import type { QueueSettings } from "./queue_config";
@@ -59,6 +60,8 @@
   readonly stepRun: StepRun;
   readonly index: number;
   isDone: boolean;
+  /** Whether any run of it failed. */
+  readonly hasFailed: boolean;
   /** Numbers of the runs that failed. */
   readonly failedRuns: Set<number>;
   /** Ids of workers on which it failed; other workers are preferred. */
@@ -86,13 +89,26 @@
   /** Index of the step in its job. */
   readonly number: number;
   readonly step: Step;
+  /** They are created when they are first needed. */
   readonly tasks: Task[];
+  /** Whether the tasks were created; if not, none of them was ever at work. */
+  readonly hasTasks: boolean;
+  /** Drops the tasks of a step that is done; they can be created again. */
+  readonly releaseTasks: () => void;
   /** Number of tasks that are done. */
   doneCount: number;
   /** Monotonic ms since which its job could run but has no run. */
   idleSinceMs: number | undefined;
 }
 
+/** What the new tasks of a job have in common. */
+export interface NewTasks {
+  /** Run numbers start above this. */
+  readonly runFloor: number;
+  /** Whether runs of them may have been at work under former leaders. */
+  readonly wasAtWork: boolean;
+}
+
 /** State of a job, kept by the leading scheduler. */
 export interface JobRecord {
   readonly job: Job;
@@ -102,8 +118,17 @@
   phase: JobPhase;
   /** Unix ms of the last phase change. */
   sinceMs: number;
-  /** Indexed by occurrence, then by step. */
+  /**
+   * Indexed by occurrence, then by step. Only occurrences that are due and not
+   * over are there: iterate with `listOccurrences`.
+   */
   readonly occurrences: StepRun[][];
+  /** Occurrences that are over and not in `occurrences` any more. */
+  readonly doneOccurrences: IndexRanges;
+  /** All occurrences below this were expanded. */
+  nextOccurrence: number;
+  /** What tasks that are created later have in common. */
+  readonly newTasks: NewTasks;
   /** Number of steps that are not done. */
   openSteps: number;
 }
@@ -116,7 +141,7 @@
 
 /** Whether all tasks of a step are done. */
 export function isStepDone(stepRun: StepRun): boolean {
-  return stepRun.doneCount >= stepRun.tasks.length;
+  return stepRun.doneCount >= stepRun.step.count;
 }
 
 /** Whether all steps that this one depends on are done. */
