fix(leader): bound the rows of a state, and set aside a job that is rejected

Cause: all progress of a job was one row. Past 65,536 bytes the table rejects it, and with it each commit of each leader; 90 large states in one commit exceed the table's 1 MB likewise. Change: a state of more than 48 kB has its steps in further rows states/ID/N, written in the same commit; commits take at most 90 rows and 700 kB of states. When the table answers 400 or 413, batches are halved until the job is found; it is set aside and tried alone every 10 s. The stand-in table rejects rows of more than 65,536 bytes and commits of more than 1 MB.

--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -37,6 +37,7 @@
     queue,
     phase: state?.phase ?? JobPhase.Queued,
     sinceMs: state?.sinceMs ?? job.submittedMs,
+    storedParts: state?.parts ?? 0,
     occurrences: [],
     doneOccurrences,
     nextOccurrence: 0,
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -115,7 +115,10 @@
 
 /** Parses the row of a job's state. Fault: `Malformed`. */
 export function readState(row: Pick<Row, "value">): Result<JobState, Fault> {
-  return parse<JobState>(row.value, { phase: isText });
+  return parse<JobState>(row.value, {
+    phase: isText,
+    parts: (value) => value === undefined || isNumber(value),
+  });
 }
 
 /** Parses the leadership row. Fault: `Malformed`. */
@@ -179,7 +182,7 @@
 type Check = (value: unknown) => boolean;
 
 /** Parses a JSON object and checks the types of the fields of `shape`. */
-function parse<T extends object>(
+export function parse<T extends object>(
   text: string,
   shape: { readonly [Field in keyof T]?: Check },
 ): Result<T, Fault> {
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -55,6 +55,11 @@
    * is none, and in rows of earlier releases.
    */
   readonly doneOccurrences?: readonly IndexRange[];
+  /**
+   * Number of further rows with steps; missing if all steps are here, and in rows
+   * of earlier releases.
+   */
+  readonly parts?: number;
 }
 
 /** Whether the job is over: no more of its tasks will start. */
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -129,6 +129,8 @@
   nextOccurrence: number;
   /** What tasks that are created later have in common. */
   readonly newTasks: NewTasks;
+  /** Number of further rows of its state that may be stored. */
+  storedParts: number;
   /** Number of steps that are not done. */
   openSteps: number;
 }
--- a/packages/leader/src/job_history.ts
+++ b/packages/leader/src/job_history.ts
@@ -14,6 +14,7 @@
   stateKey,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, JobPhase } from "@laburnumtrack/jobs/job_state";
+import { partKey } from "@laburnumtrack/jobs/state_rows";
 
 /** Options of a job history. */
 export interface JobHistoryOptions {
@@ -47,6 +48,8 @@
   revision: number;
   /** Revision of its closed row; 0 if unknown. */
   rowRevision: number;
+  /** Number of further rows of its state. */
+  parts: number;
   /** Monotonic ms at which this leader knew that its row is closed. */
   closedMs: number | undefined;
   /** Whether its row is known to be removed. */
@@ -148,7 +151,13 @@
   /** Notes that the final state of a job is stored among the states. */
   onFinalState(
     id: string,
-    state: { phase: JobPhase; sinceMs: number; revision: number },
+    state: {
+      phase: JobPhase;
+      sinceMs: number;
+      revision: number;
+      /** Number of further rows of the state; none by default. */
+      parts?: number | undefined;
+    },
   ): void {
     const job = this.#jobOf(id);
     if (job.rowRevision < state.revision) {
@@ -158,6 +167,7 @@
     }
     job.phase = state.phase;
     job.finishedMs = state.sinceMs;
+    job.parts = state.parts ?? 0;
     job.revision = Math.max(job.revision, state.revision);
     this.#setPlace(id, job, StatePlace.States);
   }
@@ -231,7 +241,10 @@
         { key: stateKey(id), value: null },
         { key: endedKey(id), value: isRowGone ? null : value },
       );
-      count += 1;
+      for (let part = 1; part <= job.parts; part += 1) {
+        writes.push({ key: partKey(id, part), value: null });
+      }
+      count += 1 + job.parts;
     }
     return writes;
   }
@@ -342,6 +355,7 @@
       const state = readState(stateRow);
       const isOver = state.ok && isFinal(state.val.phase);
       job.phase = isOver ? state.val.phase : JobPhase.Cancelled;
+      job.parts = state.ok ? (state.val.parts ?? 0) : 0;
       job.finishedMs ??= isOver
         ? state.val.sinceMs
         : this.#options.clock.wallMs();
@@ -407,6 +421,7 @@
         finishedMs: undefined,
         revision: 0,
         rowRevision: 0,
+        parts: 0,
         closedMs: undefined,
         isRowGone: false,
         place: StatePlace.Unknown,
--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -21,6 +21,7 @@
   type JobState,
 } from "@laburnumtrack/jobs/job_state";
 import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import { StateParts } from "@laburnumtrack/jobs/state_rows";
 import type { JobRecord } from "@laburnumtrack/jobs/task";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
@@ -90,16 +91,31 @@
   /** Reads the stored job states; false when the read failed or is outdated. */
   async loadStates(): Promise<boolean> {
     const { table, minRevision } = this.#options;
+    const parts = new StateParts();
     const read = await table.readPages(
       RowPrefix.States,
       ({ rows, revision }) => {
         // An outdated read may lack the last commits of the former leader.
         if (revision < minRevision) return false;
-        for (const row of rows) this.#onState(row);
+        for (const row of rows) if (!parts.take(row)) this.#onState(row);
         return true;
       },
     );
-    return read.ok && read.val.revision >= minRevision;
+    if (read.err || read.val.revision < minRevision) return false;
+    this.#joinParts(parts);
+    return true;
+  }
+
+  /** Completes the states that are stored in several rows. */
+  #joinParts(parts: StateParts): void {
+    for (const [id, former] of this.#formerStates) {
+      const state = parts.join(id, former.state);
+      if (state !== undefined) this.#formerStates.set(id, { ...former, state });
+      else {
+        this.#formerStates.delete(id);
+        this.#onUnreadableState(id, "a row of the state is missing");
+      }
+    }
   }
 
   #onState(row: Row): void {
@@ -214,7 +230,12 @@
     if (former === undefined && !this.#unreadable.has(id)) return;
     // It was cancelled, and the leader of then did not store that any more.
     const sinceMs = closedMs ?? clock.wallMs();
-    history.onFinalState(id, { phase: JobPhase.Cancelled, sinceMs, revision });
+    history.onFinalState(id, {
+      phase: JobPhase.Cancelled,
+      sinceMs,
+      revision,
+      parts: former?.state.parts,
+    });
   }
 
   #addJob(job: Job, revision: number): void {
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -2,13 +2,11 @@
 import { type Fault, FaultCode } from "@laburnumtrack/core/fault";
 import { Signal } from "@laburnumtrack/core/signal";
 import type { Table, Write } from "@laburnumtrack/core/table";
-import { stateOf } from "@laburnumtrack/jobs/job_record";
 import {
   LEADER_KEY,
   LEARNT_KEY,
   ROSTER_KEY,
   readLeadership,
-  stateKey,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
 import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
@@ -19,6 +17,11 @@
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import type { FormerLeases } from "./former_leases";
 import { type JobHistory, MAX_MOVES_PER_COMMIT } from "./job_history";
+import {
+  MAX_ROWS_PER_COMMIT,
+  type StateBatch,
+  StateBatches,
+} from "./state_batches";
 import {
   encodeRoster,
   isRosterOf,
@@ -78,8 +81,8 @@
 const MODEL_WRITE_INTERVAL_MS = 2000;
 /** Rows that a commit writes to move the state of a finished job. */
 const WRITES_PER_MOVE = 2;
-/** Most jobs in one commit; the platform accepts at most 100 entries. */
-const MAX_JOBS_PER_COMMIT = 90;
+/** Most jobs that a log line lists. */
+const MAX_LOGGED_JOBS = 5;
 
 /**
  * Stores the progress of jobs in batches. Each commit also writes the
@@ -90,9 +93,7 @@
 export class ProgressStore {
   readonly #options: ProgressStoreOptions;
   readonly #wake: Signal;
-  readonly #dirty = new Map<string, JobRecord>();
-  /** Ids of the jobs in the commit under way. */
-  #committing: ReadonlySet<string> = new Set();
+  readonly #batches = new StateBatches();
   #held: HeldLeadership;
   /** Sequence number of the last commit sent; unique to each commit. */
   #sequence: number;
@@ -136,17 +137,17 @@
 
   /** Number of jobs whose state is not stored yet. */
   get backlog(): number {
-    return this.#dirty.size;
+    return this.#batches.size;
   }
 
   /** Whether the last change of a job is stored. */
   isStored(jobId: string): boolean {
-    return !this.#dirty.has(jobId) && !this.#committing.has(jobId);
+    return this.#batches.isStored(jobId);
   }
 
   /** Schedules the state of a job to be stored. */
   markDirty(record: JobRecord): void {
-    this.#dirty.set(record.job.id, record);
+    this.#batches.add(record);
     this.#wake.set();
   }
 
@@ -172,9 +173,10 @@
     const { clock } = this.#options;
     while (!signal.aborted && !this.#isLost) {
       const isStored = await this.commit({ isReleased: false, successor: "" });
-      const hasMore = this.#dirty.size >= MAX_JOBS_PER_COMMIT;
-      await clock.sleep(isStored ? BATCH_PAUSE_MS : RETRY_PAUSE_MS, signal);
-      if (isStored && !hasMore && this.#dirty.size === 0) {
+      const { hasMore, isSearching } = this.#batches;
+      const isPauseShort = isStored || isSearching;
+      await clock.sleep(isPauseShort ? BATCH_PAUSE_MS : RETRY_PAUSE_MS, signal);
+      if (isStored && !hasMore && this.#batches.size === 0) {
         await this.#wake.wait(MAX_COMMIT_INTERVAL_MS);
       }
     }
@@ -191,11 +193,9 @@
   /** Commits once; false when the commit failed or its outcome is unknown. */
   async commit({ isReleased, successor }: CommitOptions): Promise<boolean> {
     const { clock, table, metrics } = this.#options;
-    const batch = [...this.#dirty.values()].slice(0, MAX_JOBS_PER_COMMIT);
-    const isWhole = batch.length === this.#dirty.size;
+    const batch = this.#batches.take(clock.nowMs());
+    const { isWhole } = batch;
     const ends = isWhole ? this.#snapshotEnds() : [];
-    for (const record of batch) this.#dirty.delete(record.job.id);
-    this.#committing = new Set(batch.map(({ job }) => job.id));
     this.#sequence += 1;
     const row: Leadership = {
       ...this.#held.row,
@@ -211,13 +211,13 @@
         : this.#held.row.pending,
       pendingAgeMs: this.#pendingAgeMs(),
     };
-    const finals = batch.filter(({ phase }) => isFinal(phase));
+    const finals = batch.records.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
     const rostered = updateRostered(workers);
     const isRosterNew =
       this.#isStateLoaded && !isRosterOf(this.#storedRoster, rostered);
     const sentRoster = isRosterNew ? rosterOf(rostered) : this.#storedRoster;
-    const historyWrites = this.#listHistoryWrites(batch.length);
+    const historyWrites = this.#listHistoryWrites(batch.writes.length);
     const sentMs = clock.nowMs();
     // Until this commit is known to have succeeded, it is not known which roster
     // is stored: it may still take effect.
@@ -226,7 +226,7 @@
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
       writes: [
         leadershipWrite(row),
-        ...batch.map(jobStateWrite),
+        ...batch.writes,
         ...historyWrites,
         ...this.#createModelWrite(sentMs, isReleased),
         ...(isReleased && isWhole
@@ -242,11 +242,11 @@
       ? done.val.revision
       : await this.#resolveOutcome(row, done.val);
     if (revision === undefined) {
-      for (const record of batch) this.#dirty.set(record.job.id, record);
-      this.#committing = new Set();
+      if (done.err && isRejection(done.val)) this.#onRejected(batch);
+      else this.#batches.onFailed(batch);
       return false;
     }
-    this.#committing = new Set();
+    this.#batches.onStored(batch, clock.nowMs());
     this.#held = { row, revision };
     this.#lastCommitSentMs = sentMs;
     this.#storedRoster = sentRoster;
@@ -263,10 +263,10 @@
     return true;
   }
 
-  /** Writes about finished jobs for which a commit of `used` jobs has room. */
+  /** Writes about finished jobs for which a commit of `used` rows has room. */
   #listHistoryWrites(used: number): Write[] {
-    if (!this.#isStateLoaded) return [];
-    const room = Math.floor((MAX_JOBS_PER_COMMIT - used) / WRITES_PER_MOVE);
+    if (!this.#isStateLoaded || this.#batches.isSearching) return [];
+    const room = Math.floor((MAX_ROWS_PER_COMMIT - used) / WRITES_PER_MOVE);
     const { history } = this.#options;
     return history?.listWrites(Math.min(room, MAX_MOVES_PER_COMMIT)) ?? [];
   }
@@ -330,7 +330,8 @@
     }
     const isCertain =
       fault.code === FaultCode.StoreUnavailable ||
-      fault.code === FaultCode.RateLimited;
+      fault.code === FaultCode.RateLimited ||
+      isRejection(fault);
     if (isCertain) return undefined;
     const read = await table.get([LEADER_KEY]);
     if (read.err) return undefined;
@@ -361,6 +362,21 @@
     return undefined;
   }
 
+  /** Looks for the job whose state the table rejects. */
+  #onRejected(batch: StateBatch): void {
+    const { clock, journal, metrics } = this.#options;
+    metrics.count("rejected_commits");
+    journal.error(
+      "The table rejects what the leader stores; the job that is the cause is set aside.",
+      {
+        jobs: batch.records.slice(0, MAX_LOGGED_JOBS).map(({ job }) => job.id),
+        rows: batch.writes.length,
+        setAside: this.#batches.listRejected().slice(0, MAX_LOGGED_JOBS),
+      },
+    );
+    this.#batches.onRejected(batch, clock.nowMs());
+  }
+
   #snapshotEnds() {
     return [...this.#options.workers()].map((worker) => ({
       worker,
@@ -383,7 +399,7 @@
   return { key: LEADER_KEY, value: JSON.stringify(row) };
 }
 
-function jobStateWrite(record: JobRecord): Write {
-  const value = JSON.stringify(stateOf(record));
-  return { key: stateKey(record.job.id), value };
+/** Whether the table rejected a commit for what it contains. */
+function isRejection({ code }: Fault): boolean {
+  return code === FaultCode.Malformed || code === FaultCode.TooLarge;
 }
--- a/packages/standins/src/feed_table_standin.ts
+++ b/packages/standins/src/feed_table_standin.ts
@@ -54,6 +54,10 @@
   readonly refusedCommits = new Set<string>();
   /** Key prefixes of which no snapshots can be read. */
   readonly refusedPrefixes = new Set<string>();
+  /** Size of a row, in bytes, from which on commits are rejected. */
+  rowLimitBytes = 65_536;
+  /** Size of all writes, in bytes, from which on a commit is rejected. */
+  commitLimitBytes = 1_000_000;
   /** Additional duration of all calls of a process, in ms, by its name. */
   readonly delaysMs = new Map<string, number>();
 
@@ -160,6 +164,8 @@
   ): Promise<Result<Commit, Fault>> {
     const fault = await this.#admit();
     if (fault !== undefined) return Err(fault);
+    if (this.#isTooLarge(transaction))
+      return Err(new Fault(FaultCode.Malformed));
     if (this.fault === TableFault.Late) {
       void this.#commitLate(transaction);
       await this.#clock.sleep(TIMEOUT_MS);
@@ -173,6 +179,15 @@
     return done;
   }
 
+  #isTooLarge({ writes }: Transaction): boolean {
+    const sizes = writes.map(({ value }) => Buffer.byteLength(value ?? ""));
+    const sum = sizes.reduce((total, size) => total + size, 0);
+    return (
+      sum > this.commitLimitBytes ||
+      sizes.some((size) => size > this.rowLimitBytes)
+    );
+  }
+
   async #commitLate(transaction: Transaction): Promise<void> {
     await this.#clock.sleep(LATE_COMMIT_DELAY_MS);
     this.#table.commitNow(transaction);
