--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -65,6 +65,8 @@
 const DEFAULT_LEASE_MS = 6000;
 /** Longer than any case, whose phases are read at its end. */
 const DEFAULT_JOB_RETENTION_MS = 3_600_000;
+/** Largest row that the platform's table accepts, in bytes. */
+const ROW_LIMIT_BYTES = 65_536;
 /** How long the leader may send orders after its last commit. */
 const DEFAULT_RIGHT_MS = 3500;
 const RESTORE_MS = 100;
@@ -106,6 +108,7 @@
       { length: workers },
       (_, index) => workerIds[index] ?? `w${index}`,
     );
+    this.table.rowLimitBytes = ROW_LIMIT_BYTES;
     this.#registry = registry;
     this.#capacities = capacities;
     this.#leaseMs = leaseMs;
--- a/packages/leader/src/rejected_rows_test.ts
+++ b/packages/leader/src/rejected_rows_test.ts
@@ -97,6 +97,8 @@
   const clock = new VirtualClock();
   const table = new FeedTableStandin(clock);
   const store = await createStore(clock, table);
+  table.rowLimitBytes = 65_536;
+  table.commitLimitBytes = 1_000_000;
   const records = Array.from({ length: 40 }, (_, index) =>
     createRecord(`${index}`, true, 2500),
   );
--- a/packages/standins/src/feed_table_standin.ts
+++ b/packages/standins/src/feed_table_standin.ts
@@ -54,10 +54,10 @@
   readonly refusedCommits = new Set<string>();
   /** Key prefixes of which no snapshots can be read. */
   readonly refusedPrefixes = new Set<string>();
-  /** Size of a row, in bytes, from which on commits are rejected. */
-  rowLimitBytes = 65_536;
-  /** Size of all writes, in bytes, from which on a commit is rejected. */
-  commitLimitBytes = 1_000_000;
+  /** Size of a row, in bytes, above which commits are rejected. */
+  rowLimitBytes = Number.POSITIVE_INFINITY;
+  /** Size of all writes, in bytes, above which a commit is rejected. */
+  commitLimitBytes = Number.POSITIVE_INFINITY;
   /** Additional duration of all calls of a process, in ms, by its name. */
   readonly delaysMs = new Map<string, number>();
 
