--- a/packages/admission/src/load_meter.ts
+++ b/packages/admission/src/load_meter.ts
@@ -3,6 +3,7 @@
 import type { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { estimateJobBytes } from "@laburnumtrack/jobs/job_size";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
+import { listStepRuns } from "@laburnumtrack/jobs/occurrences";
 import type { JobRecord, StepRun, Task } from "@laburnumtrack/jobs/task";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import { rankOfPriority, workOfTask } from "./job_work";
@@ -159,7 +160,7 @@
 
   #addJob(queue: MutableQueue, record: JobRecord, nowMs: number): void {
     const dueMs = this.#options.clock.wallMs() + DUE_HORIZON_MS;
-    for (const stepRun of record.occurrences.flat()) {
+    for (const stepRun of listStepRuns(record)) {
       if (earliestStartMsOf(record.job, stepRun.occurrence) > dueMs) continue;
       addStep(queue, stepRun, nowMs);
     }
@@ -190,10 +191,14 @@
 }
 
 function addStep(queue: MutableQueue, stepRun: StepRun, nowMs: number): void {
-  const { step, tasks } = stepRun;
+  const { step } = stepRun;
   const work = workOfTask(step);
   if (work === 0) return;
-  for (const { isDone, attempts } of tasks) {
+  if (!stepRun.hasTasks) {
+    queue.backlogMilliS += work * (step.count - stepRun.doneCount);
+    return;
+  }
+  for (const { isDone, attempts } of stepRun.tasks) {
     if (isDone) continue;
     const [attempt] = attempts;
     if (attempt === undefined) {
--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -9,6 +9,7 @@
 import { createJobRecord, findTask } from "./job_record";
 import { isFinal, JobPhase } from "./job_state";
 import { MachineCrashes } from "./machine_crashes";
+import { listStepRuns } from "./occurrences";
 import {
   type Attempt,
   AttemptPhase,
@@ -524,7 +525,8 @@
   #finish(record: JobRecord, phase: JobPhase, wallMs: number): void {
     record.phase = phase;
     record.sinceMs = wallMs;
-    for (const stepRun of record.occurrences.flat()) {
+    for (const stepRun of listStepRuns(record)) {
+      if (!stepRun.hasTasks) continue;
       for (const task of stepRun.tasks) {
         for (const attempt of [...task.attempts]) {
           this.stop(attempt, `job is ${phase}`);
