--- a/packages/jobs/src/state_rows.ts
+++ b/packages/jobs/src/state_rows.ts
@@ -132,18 +132,23 @@
   if (Buffer.byteLength(JSON.stringify(progress)) <= MAX_PIECE_BYTES) {
     return [progress];
   }
-  const { occurrence, step, done, failures, losses = [] } = progress;
-  const longest = Math.max(done.length, failures.length, losses.length);
+  const { occurrence, step, done, failures } = progress;
+  const { losses = [], placements = [] } = progress;
+  const longest = Math.max(
+    ...[done, failures, losses, placements].map(({ length }) => length),
+  );
   const pieces: StepProgress[] = [];
   for (let from = 0; from < longest; from += MAX_PIECE_LENGTH) {
     const to = from + MAX_PIECE_LENGTH;
-    const some = losses.slice(from, to);
+    const someLosses = losses.slice(from, to);
+    const somePlacements = placements.slice(from, to);
     pieces.push({
       occurrence,
       step,
       done: done.slice(from, to),
       failures: failures.slice(from, to),
-      ...(some.length > 0 ? { losses: some } : {}),
+      ...(someLosses.length > 0 ? { losses: someLosses } : {}),
+      ...(somePlacements.length > 0 ? { placements: somePlacements } : {}),
     });
   }
   return pieces;
--- a/packages/jobs/src/state_rows_test.ts
+++ b/packages/jobs/src/state_rows_test.ts
@@ -59,6 +59,23 @@
     parts: "some",
     isComplete: true,
   },
+  {
+    name: "the placements of a long-running step of 3,000 tasks",
+    steps: [
+      {
+        occurrence: 0,
+        step: 0,
+        done: [],
+        failures: [],
+        placements: Array.from(
+          { length: 3000 },
+          (_, index) => [index, "i-0123456789abcdef", 3] as const,
+        ),
+      },
+    ],
+    parts: "some",
+    isComplete: true,
+  },
   {
     name: "more failures than a commit has room for",
     steps: createSteps(10, 10_000),
@@ -137,8 +154,8 @@
 
 function listOthers(steps: readonly StepProgress[] = []): string[] {
   return steps
-    .flatMap(({ occurrence, step, failures, losses = [] }) =>
-      [...failures, ...losses].map(
+    .flatMap(({ occurrence, step, failures, losses = [], placements = [] }) =>
+      [...failures, ...losses, ...placements].map(
         (each) => `${occurrence}/${step}/${JSON.stringify(each)}`,
       ),
     )
