fix(leader): count waiting jobs as they are known while commits fail

Cause: the entry that leads answered counts of waiting jobs from its last commit, as if that had just been read. While its commits were refused or timed out, and after its term, an old count passed as new: few jobs were reported when many waited. Jobs whose start orders have an unknown outcome were not the cause: a job's phase changes only on a worker's answer or report. Change: the leader counts its board when it is asked, with the age of what it knows; after its term the count has the age of its last commit. A commit that takes effect late still looks newer than it is by that delay.

--- a/packages/faults/src/pending_cases_test.ts
+++ b/packages/faults/src/pending_cases_test.ts
@@ -27,6 +27,55 @@
   },
 ];
 
+/** What happens to the leader's calls to the table before jobs come. */
+const LEADER_CASES: readonly {
+  readonly name: string;
+  readonly disturb: (world: EntryWorld, leader: string) => void;
+  /** Times after that at which the leader is asked, in ms, and its answers. */
+  readonly counts: readonly (readonly [ms: number, count: "all" | "none"])[];
+}[] = [
+  {
+    name: "the table refuses its commits",
+    disturb: ({ table }, leader) => table.refusedCommits.add(leader),
+    counts: [
+      [600, "all"],
+      [1000, "all"],
+      [4000, "all"],
+      [8000, "all"],
+    ],
+  },
+  {
+    name: "the table refuses all its calls",
+    disturb: ({ table }, leader) => table.refused.add(leader),
+    counts: [
+      [4500, "none"],
+      [8000, "none"],
+      [12_000, "none"],
+    ],
+  },
+];
+
+for (const { name, disturb, counts } of LEADER_CASES) {
+  // Guards against a leader that gives the counts of its last commit as new ones
+  // while it cannot commit.
+  test(`waiting jobs: the leader is asked while ${name}`, async () => {
+    const world = new EntryWorld({ entries: 3, workers: 1 });
+    await world.advance(2000);
+    const { leader } = world;
+    assert.ok(leader !== undefined);
+    disturb(world, leader.name);
+    await world.submitTogether(200, "work=60000&fail=0");
+    let askedMs = 50;
+    for (const [ms, expected] of counts) {
+      await world.advance(ms - askedMs);
+      askedMs = ms;
+      const count = leader.leadership.countPending("q");
+      if (expected === "none") assert.equal(count, undefined);
+      else assert.ok((count ?? 0) >= 92, `${count} after ${ms} ms`);
+    }
+  });
+}
+
 for (const given of CASES) {
   const { name, isRefused, isJobReadRefused, pending } = given;
   // Guards against entries that say that few jobs wait, as few did a while ago.
--- a/packages/leader/src/leader_election.ts
+++ b/packages/leader/src/leader_election.ts
@@ -95,19 +95,20 @@
 
   /**
    * Number of jobs of a queue that have not started, as the leader last stored
-   * it; undefined if that is too long ago.
+   * it, or as this process knows it while it leads: its commits may fail. Undefined
+   * if that is too long ago.
    */
   countPending(queue: string): number | undefined {
-    const { view } = this;
-    if (view === undefined || this.#pendingAgeMs() > PENDING_MAX_AGE_MS) {
-      return undefined;
-    }
-    return view.row.pending[queue] ?? 0;
+    const known = this.#term?.describePending();
+    const pending = known?.pending ?? this.#view?.row.pending;
+    const ageMs = known?.pendingAgeMs ?? this.#pendingAgeMs();
+    if (pending === undefined || ageMs > PENDING_MAX_AGE_MS) return undefined;
+    return pending[queue] ?? 0;
   }
 
-  /** Time in ms for which the last known counts may lack stored jobs. */
+  /** Time in ms for which the last read counts may lack stored jobs. */
   #pendingAgeMs(): number {
-    const { view } = this;
+    const view = this.#view;
     if (view === undefined) return 0;
     const unreadMs = this.#options.clock.nowMs() - view.readMs;
     return unreadMs + (view.row.pendingAgeMs ?? 0);
@@ -148,7 +149,8 @@
     try {
       await this.#term.run(signal);
     } finally {
-      this.#view = { row: this.#term.row, readMs: this.#options.clock.nowMs() };
+      const { row, lastCommitSentMs } = this.#term;
+      this.#view = { row, readMs: lastCommitSentMs };
       this.#term = undefined;
       this.#changedMs = this.#options.clock.nowMs();
     }
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -182,6 +182,15 @@
     }
   }
 
+  /** Jobs that have not started, as this process knows them now. */
+  describePending(): Required<Pick<Leadership, "pending" | "pendingAgeMs">> {
+    // Until the jobs are read, the counts of the former leader are kept.
+    const pending = this.#isStateLoaded
+      ? this.#options.pending()
+      : this.#options.held.row.pending;
+    return { pending, pendingAgeMs: this.#pendingAgeMs() };
+  }
+
   #pendingAgeMs(): number {
     const { clock, jobsKnownMs, held, acquireSentMs } = this.#options;
     const ageMs = this.#isStateLoaded
@@ -205,11 +214,7 @@
       formerRightMs: this.#options.formerLeases.rightMs,
       leaseMs: this.#options.formerLeases.longestMs,
       ...this.#describeSilent(isWhole),
-      // Until the jobs are read, the counts of the former leader are kept.
-      pending: this.#isStateLoaded
-        ? this.#options.pending()
-        : this.#held.row.pending,
-      pendingAgeMs: this.#pendingAgeMs(),
+      ...this.describePending(),
     };
     const finals = batch.records.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -210,6 +210,16 @@
     return this.#progress.row;
   }
 
+  /** Jobs that have not started, as this leader knows them now. */
+  describePending() {
+    return this.#progress.describePending();
+  }
+
+  /** Monotonic ms at which the leadership row was last written. */
+  get lastCommitSentMs(): number {
+    return this.#progress.lastCommitSentMs;
+  }
+
   /** Number of workers that this leader knows. */
   get workerCount(): number {
     return this.#board.workers.size;
