--- a/packages/leader/src/job_history.ts
+++ b/packages/leader/src/job_history.ts
@@ -15,11 +15,13 @@
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, JobPhase } from "@laburnumtrack/jobs/job_state";
 import { partKey } from "@laburnumtrack/jobs/state_rows";
+import type { Metrics } from "@laburnumtrack/process/metrics";
 
 /** Options of a job history. */
 export interface JobHistoryOptions {
   readonly clock: Clock;
   readonly table: FeedTable;
+  readonly metrics: Metrics;
   /** Time for which a finished job stays known to callers, in ms. */
   readonly retentionMs: number;
   /** Whether the board still has the job. */
@@ -259,6 +261,7 @@
       else {
         const isRemoved = value === null;
         const place = isRemoved ? StatePlace.None : StatePlace.Ended;
+        if (!isRemoved) this.#options.metrics.count("states_moved");
         this.#setPlace(id, job, place);
       }
     }
@@ -399,6 +402,7 @@
       writes: [{ key, value: null }],
     });
     const isOver = done.ok || done.val.code === FaultCode.Conflict;
+    if (done.ok) this.#options.metrics.count("job_rows_removed");
     const isSame = this.#jobs.get(id)?.rowRevision === rowRevision;
     if (isOver && isSame) this.forget(id);
   }
--- a/packages/leader/src/job_history_test.ts
+++ b/packages/leader/src/job_history_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { endedKey, jobKey, RowPrefix } from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
+import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
 import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
 import { JobHistory, MAX_MOVES_PER_COMMIT } from "./job_history";
@@ -15,6 +16,7 @@
   return new JobHistory({
     clock,
     table,
+    metrics: new Metrics(),
     retentionMs: RETENTION_MS,
     isOnBoard: () => false,
   });
--- a/packages/leader/src/job_intake_test.ts
+++ b/packages/leader/src/job_intake_test.ts
@@ -89,6 +89,7 @@
   const history = new JobHistory({
     clock,
     table,
+    metrics: new Metrics(),
     retentionMs: 120_000,
     isOnBoard: (id) => board.jobs.has(id),
   });
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -157,6 +157,7 @@
     this.#history = new JobHistory({
       clock,
       table,
+      metrics: options.metrics,
       retentionMs: options.jobRetentionMs,
       isOnBoard: (id) => this.#board.jobs.has(id),
     });
