fix(jobs): store the finished tasks of usual steps as single indices

Cause: a leader of an earlier release, which may lead while entries are replaced, reads single indices only and would run tasks again that are stored as a range. Change: ranges are stored for 100 and more consecutive tasks.

--- a/packages/jobs/src/index_ranges.ts
+++ b/packages/jobs/src/index_ranges.ts
@@ -39,11 +39,14 @@
     this.#ranges.splice(place, end - place, [from, to]);
   }
 
-  /** The indices in a compact form that can be stored. */
-  list(): IndexRange[] {
+  /**
+   * The indices in a compact form that can be stored; that many consecutive ones
+   * are a pair.
+   */
+  list(minPairLength = MIN_PAIR_LENGTH): IndexRange[] {
     const list: IndexRange[] = [];
     for (const [first, last] of this.#ranges) {
-      if (last - first + 1 >= MIN_PAIR_LENGTH) list.push([first, last]);
+      if (last - first + 1 >= minPairLength) list.push([first, last]);
       else for (let index = first; index <= last; index += 1) list.push(index);
     }
     return list;
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -275,6 +275,19 @@
   assert.equal(again.occurrences[0]?.[0]?.doneCount, 1);
 });
 
+// Guards against tasks that run again under a leader of an earlier release, which
+// reads single indices only.
+test("job board: the tasks of a usual step that are done are stored one by one", () => {
+  const job = createJob("a", [{ count: 36 }, { after: [0] }]);
+  const options = { revision: 1, queue: QUEUE, runFloor: 0, state: undefined };
+  const record = createJobRecord(job, options);
+  const [first] = record.occurrences[0] ?? [];
+  assert.ok(first);
+  first.doneCount = 36;
+  const indices = Array.from({ length: 36 }, (_, index) => index);
+  assert.deepEqual(stateOf(record).steps[0]?.done, indices);
+});
+
 function createFixture(): Fixture {
   const stops: StopRequest[] = [];
   const board = new JobBoard(
--- a/packages/jobs/src/job_record.ts
+++ b/packages/jobs/src/job_record.ts
@@ -23,6 +23,12 @@
   readonly runFloor: number;
 }
 
+/**
+ * Consecutive tasks that are done from which a pair is stored. Earlier releases
+ * read indices only, and one of them may lead while entries are replaced.
+ */
+const MIN_PAIR_LENGTH = 100;
+
 /** Creates the record of a job from its stored rows. */
 export function createJobRecord(
   job: Job,
@@ -90,7 +96,8 @@
   }
   if (done.size + failures.length + losses.length === 0) return undefined;
   const optional = losses.length > 0 ? { losses } : {};
-  return { occurrence, step, done: done.list(), failures, ...optional };
+  const list = done.list(MIN_PAIR_LENGTH);
+  return { occurrence, step, done: list, failures, ...optional };
 }
 
 /** Finds a task by its indices; undefined if the job has no such task. */
