--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -190,6 +190,7 @@
     this.#history = new JobHistory({
       clock,
       table,
+      metrics: options.metrics,
       retentionMs: options.jobRetentionMs,
       isOnBoard: (id) => this.#board.jobs.has(id),
     });
@@ -265,6 +266,16 @@
     return this.#progress.row;
   }
 
+  /** Jobs that have not started, as this leader knows them now. */
+  describePending() {
+    return this.#progress.describePending();
+  }
+
+  /** Monotonic ms at which the leadership row was last written. */
+  get lastCommitSentMs(): number {
+    return this.#progress.lastCommitSentMs;
+  }
+
   /** Number of workers that this leader knows. */
   get workerCount(): number {
     return this.#board.workers.size;
