test(faults): a replaced worker whose entry stays, and mutations for losses

The failover cases passed with the rule of placements taken out, as removed workers are known to run nothing by another rule. A case keeps the entries of replaced workers, as the registry does for some seconds; the mutation is noticed now.

Six mutations are added (incomplete lists, replaced workers, placements, faulty machines); each is noticed. The mutation of inherited runs names the present line again and is noticed.

--- a/packages/faults/src/failover_loss_test.ts
+++ b/packages/faults/src/failover_loss_test.ts
@@ -12,6 +12,8 @@
   readonly gone?: number;
   /** Workers that are cut off and run on. */
   readonly cutOff?: number;
+  /** Whether the entries of replaced workers stay in the registry. */
+  readonly keepsEntries?: boolean;
   /** Whether the killed leader was of a version that stores no placements. */
   readonly isOlderVersion?: boolean;
   /** Whether the tasks that were not on a worker that is gone wait for it. */
@@ -35,6 +37,12 @@
   { name: "all are replaced", replaced: 3 },
   { name: "one of them is gone for good", replaced: 2, gone: 1 },
   { name: "one of them is only cut off", replaced: 2, cutOff: 1 },
+  {
+    name: "one of them is gone for good, and entries stay",
+    replaced: 2,
+    gone: 1,
+    keepsEntries: true,
+  },
   {
     name: "and it stored no placements",
     replaced: 2,
@@ -52,7 +60,8 @@
     const world = new EntryWorld({ entries: 3, workers: WORKERS });
     const { fleet, clock } = world;
     fleet.restartDelayMs = RESTART_DELAY_MS;
-    world.renameCrashedWorkers();
+    if (given.keepsEntries) keepEntriesOfCrashed(world);
+    else world.renameCrashedWorkers();
     await world.advance(2000);
     await world.submit(JOB_ID, SPEC, [STEP]);
     await world.advance(12_000);
@@ -105,13 +114,7 @@
   const world = new EntryWorld({ entries: 1, workers: 2 });
   const { fleet, clock } = world;
   fleet.restartDelayMs = 100;
-  fleet.onRestarted = (id, bornMs) => {
-    void world.table.commit({
-      checks: [],
-      writes: [{ key: `workers/${id}+1`, value: `${bornMs}` }],
-    });
-    return `${id}+1`;
-  };
+  keepEntriesOfCrashed(world);
   await world.advance(2000);
   await world.submit(JOB_ID, SPEC, [{ ...STEP, perWorkerLimit: 0 }]);
   await world.advance(2000);
@@ -145,6 +148,18 @@
   assert.equal(active.length, 9);
 });
 
+/** Lets workers come back under a new id while the former entry stays. */
+function keepEntriesOfCrashed({ fleet, table }: EntryWorld): void {
+  fleet.onRestarted = (id, bornMs) => {
+    const key = `workers/${id}+1`;
+    void table.commit({
+      checks: [],
+      writes: [{ key, value: `${bornMs}` }],
+    });
+    return `${id}+1`;
+  };
+}
+
 /** Rewrites the leadership row as a version without placements writes it. */
 async function forgetPlacements(world: EntryWorld): Promise<void> {
   const reading = world.table.get([LEADER_KEY]);
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -19,6 +19,9 @@
 const KNOWLEDGE_CASES = "packages/faults/src/takeover_knowledge_test.ts";
 const SUCCESSION_CASES = "packages/faults/src/succession_cases_test.ts";
 
+const REPORT_CASES = "packages/faults/src/report_cases_test.ts";
+const FAILOVER_CASES = "packages/faults/src/failover_loss_test.ts";
+
 const CONFIG_LINK_CASES = "packages/soak/src/config_link_cases_test.ts";
 const CONFIG_EXCHANGE_CASES = "packages/config/src/config_exchange_test.ts";
 const PENDING_CASES = "packages/faults/src/pending_cases_test.ts";
@@ -161,6 +164,48 @@
     to: "",
     test: CRASH_CASES,
   },
+  {
+    name: "reports: absence from an incomplete list proves nothing",
+    file: "packages/jobs/src/job_board.ts",
+    from: "else if (report.hasMore) attempt.progressMs = times.nowMs;",
+    to: "",
+    test: REPORT_CASES,
+  },
+  {
+    name: "failover: a replaced worker is not waited for",
+    file: "packages/jobs/src/job_board.ts",
+    from: "worker.isReplaced = true;\n    this.onLost(worker);",
+    to: "",
+    test: FAILOVER_CASES,
+  },
+  {
+    name: "failover: a worker without a successor is waited for",
+    file: "packages/jobs/src/job_board.ts",
+    from: "if (worker.isReplaced || !this.#hasSuccessor(worker)) return;",
+    to: "if (worker.isReplaced) return;",
+    test: FAILOVER_CASES,
+  },
+  {
+    name: "failover: tasks wait for the worker of their placement only",
+    file: "packages/leader/src/term.ts",
+    from: "return worker.areRunsKnown || nowMs >= worker.leaseExpiryMs;",
+    to: "return false;",
+    test: FAILOVER_CASES,
+  },
+  {
+    name: "failover: placements from before an older version do not count",
+    file: "packages/leader/src/term.ts",
+    from: "placement === undefined || placement.epoch < placementsSince",
+    to: "placement === undefined",
+    test: FAILOVER_CASES,
+  },
+  {
+    name: "crash losses: a faulty machine's losses count once",
+    file: "packages/jobs/src/crash_losses.ts",
+    from: "if (!isMachineFault) return true;",
+    to: "if (!isMachineFault || isMachineFault) return true;",
+    test: CRASH_LOSSES,
+  },
   {
     name: "crash losses: a job in a crash loop is given up",
     file: "packages/jobs/src/crash_losses.ts",
@@ -643,7 +688,7 @@
   {
     name: "an inherited run that was never started is dropped at once",
     file: "packages/jobs/src/job_board.ts",
-    from: "else if (attempt.isInherited && !report.hasMore) this.#detach(attempt);",
+    from: "else if (attempt.isInherited) this.#detach(attempt);",
     to: "",
     test: "packages/jobs/src/job_board_test.ts",
   },
