--- a/packages/leader/src/tombstone_intake_test.ts
+++ b/packages/leader/src/tombstone_intake_test.ts
@@ -44,6 +44,7 @@
   const history = new JobHistory({
     clock,
     table,
+    metrics: new Metrics(),
     retentionMs: RETENTION_MS,
     isOnBoard: (id) => board.jobs.has(id),
   });
