--- a/packages/leader/src/job_intake.ts
+++ b/packages/leader/src/job_intake.ts
@@ -204,7 +204,8 @@
       history.onRowClosed(id, { revision, finishedMs: refusal.atMs });
     } else if (job === undefined) this.#onClosed(id, revision, closedMs);
     else this.#onOpen(id, job, revision);
-    if (history.has(id)) this.#readIds.add(id);
+    // An open job may finish before the snapshot that shows its row is complete.
+    if (job !== undefined || history.has(id)) this.#readIds.add(id);
   }
 
   /** Handles the row of a job whose tasks may start. */
--- a/packages/leader/src/job_intake_test.ts
+++ b/packages/leader/src/job_intake_test.ts
@@ -5,6 +5,7 @@
 import {
   encodeClosedJobRow,
   encodeOpenJobRow,
+  endedKey,
   jobKey,
   RowPrefix,
 } from "@laburnumtrack/jobs/job_rows";
@@ -79,6 +80,28 @@
   return Array.from({ length: TASKS / 2 }, (_, index) => first + 2 * index);
 }
 
+// Guards against a finished job that is answered as unknown: its row seemed to be
+// removed, and so its outcome was.
+test("job intake: a job that finishes while all rows are read again keeps its outcome", async () => {
+  const { board, history, intake, table, clock } = await load([OPEN]);
+  const record = board.jobs.get(ID);
+  assert.ok(record);
+  const readPages = table.readPages.bind(table);
+  table.readPages = async (prefix, onPage) => {
+    const read = await readPages(prefix, onPage);
+    record.phase = JobPhase.Completed;
+    intake.onFinalStored(record);
+    return read;
+  };
+  const reading = intake.follower.load();
+  await clock.run(clock.nowMs() + 1000);
+  assert.ok(await reading);
+  history.onRowClosed(ID, { revision: 100 });
+  await clock.run(clock.nowMs() + 2000);
+  const outcome = history.listWrites(1).find(({ key }) => key === endedKey(ID));
+  assert.ok(outcome?.value, "the outcome is stored");
+});
+
 async function load(writes: readonly Write[]) {
   const clock = new VirtualClock();
   const table = new FeedTableStandin(clock);
@@ -113,5 +136,5 @@
   })();
   await clock.run(clock.nowMs() + 1000);
   await loading;
-  return { board, history, clock };
+  return { board, history, intake, table, clock };
 }
