fix(leader): keep the state of a job that finishes while all rows are read

Cause: a job that finished between the reading of its row and the end of the reading was taken for one without a row. Its state was removed while its row was open, and the next leader ran the job again. Change: only jobs whose rows are known to be closed are taken for removed.

--- a/packages/leader/src/job_history.ts
+++ b/packages/leader/src/job_history.ts
@@ -205,10 +205,14 @@
     if (job.place !== StatePlace.States) this.forget(id);
   }
 
-  /** Notes which jobs have rows; rows that are missing were removed. */
+  /**
+   * Notes which jobs have rows; closed rows that are missing were removed. A job
+   * that finished while the rows were read is missing, too, but its row is open.
+   */
   onRowsRead(ids: ReadonlySet<string>, revision: number): void {
     for (const [id, job] of this.#jobs) {
-      if (!ids.has(id) && job.revision <= revision) this.onRowRemoved(id);
+      const isMissing = job.closedMs !== undefined && !ids.has(id);
+      if (isMissing && job.revision <= revision) this.onRowRemoved(id);
     }
   }
 
--- a/packages/leader/src/job_history_test.ts
+++ b/packages/leader/src/job_history_test.ts
@@ -123,3 +123,19 @@
   await clock.run(clock.nowMs() + 1000);
   await running;
 });
+
+// Guards against removing the state of a job that finishes while all rows are
+// read again: its row is open, and the next leader would run the job again.
+test("job history: a job that finishes while the rows are read keeps its state", async () => {
+  const clock = new VirtualClock();
+  const history = createHistory(clock, new FeedTableStandin(clock));
+  history.onFinalState(idOf(1), {
+    phase: JobPhase.Completed,
+    sinceMs: clock.wallMs(),
+    revision: 3,
+  });
+  history.onRowsRead(new Set(), 9);
+  await clock.run(clock.nowMs() + 5000);
+  assert.deepEqual(history.listWrites(MAX_MOVES_PER_COMMIT), []);
+  assert.ok(history.isOver(idOf(1), 3));
+});
