--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -360,6 +360,15 @@
       defaultText: "500",
       help: "Time that a task takes to resume from its checkpoint.",
     },
+    {
+      key: "planning_min_capacity",
+      kind: FieldKind.Decimal,
+      unit: "cores",
+      min: 0,
+      max: 1024,
+      defaultText: "0",
+      help: "Processing capacity of a VM from which its leader preempts, copies, looks ahead and resends orders, where these are turned on.",
+    },
     {
       key: "preemption",
       kind: FieldKind.Choice,
