feat(leader): plan the most urgent queues between the rounds over all jobs

A round over all waiting jobs blocks the leader, and three times as long a pause follows; an urgent job of 0.3 s of slack waits for that and not for room (of 517 steps of the urgent queue, 27 took over 50 ms from their first to their last start).

Rounds that plan only the queues with the lowest priority number, in free room, run as soon as a job is added or a run ends. Off unless urgent_rounds is set, where all queues have one priority, and on VMs below planning_min_capacity.

--- a/packages/fileset/src/settings_fields.ts
+++ b/packages/fileset/src/settings_fields.ts
@@ -367,7 +367,14 @@
       min: 0,
       max: 1024,
       defaultText: "0",
-      help: "Processing capacity of a VM from which its leader preempts, copies, looks ahead and resends orders, where these are turned on.",
+      help: "Processing capacity of a VM from which its leader preempts, copies, looks ahead, plans urgent rounds and resends orders, where these are turned on.",
+    },
+    {
+      key: "urgent_rounds",
+      kind: FieldKind.Choice,
+      choices: ["false", "true"],
+      defaultText: "false",
+      help: "Whether jobs of the most urgent queues are also planned between the rounds over all jobs.",
     },
     {
       key: "preemption",
--- a/packages/jobs/src/queue_config.ts
+++ b/packages/jobs/src/queue_config.ts
@@ -60,6 +60,17 @@
   readonly pools: readonly Pool[];
 }
 
+/**
+ * Priority of the most urgent queues; undefined if all queues have the same one.
+ */
+export function mostUrgentPriority({
+  queues,
+}: QueueConfig): number | undefined {
+  const priorities = queues.map(({ priority }) => priority);
+  const first = Math.min(...priorities);
+  return first < Math.max(...priorities) ? first : undefined;
+}
+
 /** Finds the queue of the host, in lower case, with the longest prefix of the path. */
 export function findQueue(
   config: QueueConfig,
--- a/packages/jobs/src/start_planner.ts
+++ b/packages/jobs/src/start_planner.ts
@@ -52,6 +52,8 @@
   /** Maximum number of starts in this round. */
   readonly limit: number;
   readonly model: InterferenceModel;
+  /** Only jobs of queues with at most this priority are planned; all by default. */
+  readonly priorityLimit?: number | undefined;
   /** Plans beyond what is free now; undefined: only free room counts. */
   readonly aid?: PlanningAid | undefined;
 }
@@ -338,10 +340,15 @@
   return reservedMilli > capacityMilli * BUSY_FRACTION;
 }
 
-function rankJobs(board: JobBoard, { wallMs, aid }: PlanOptions): JobRecord[] {
+function rankJobs(
+  board: JobBoard,
+  { wallMs, aid, priorityLimit = Number.POSITIVE_INFINITY }: PlanOptions,
+): JobRecord[] {
   const ranked: { record: JobRecord; rank: JobRank }[] = [];
   for (const record of board.jobs.values()) {
     if (isFinal(record.phase)) continue;
+    const priority = record.queue?.priority ?? Number.POSITIVE_INFINITY;
+    if (priority > priorityLimit) continue;
     ranked.push({
       record,
       rank: rankJob(record, wallMs, aid?.isResuming(record)),
--- a/packages/leader/src/planned_rounds.ts
+++ b/packages/leader/src/planned_rounds.ts
@@ -51,6 +51,16 @@
     return starts;
   }
 
+  /** Whether jobs of the most urgent queues are also planned between the rounds. */
+  get hasUrgentRounds(): boolean {
+    return this.#options.planning?.hasUrgentRounds ?? false;
+  }
+
+  /** Plans only jobs of queues with at most this priority, in free room. */
+  planUrgent(options: PlanOptions, priorityLimit: number): readonly Attempt[] {
+    return this.#planner.planUrgent(options, priorityLimit);
+  }
+
   /** Learns from a report of the worker that was applied to the board. */
   onReport(worker: WorkerRecord): void {
     this.#planner.onReport(worker, this.#options.clock.nowMs());
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -6,7 +6,10 @@
 import type { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
 import { JobBoard } from "@laburnumtrack/jobs/job_board";
 import { countPending } from "@laburnumtrack/jobs/pending_count";
-import type { QueueConfig } from "@laburnumtrack/jobs/queue_config";
+import {
+  mostUrgentPriority,
+  type QueueConfig,
+} from "@laburnumtrack/jobs/queue_config";
 import type { PlanningState } from "@laburnumtrack/jobs/start_planner";
 import type { Attempt, Placement, Task } from "@laburnumtrack/jobs/task";
 import { RunEnd, type TaskWorker } from "@laburnumtrack/jobs/task_worker";
@@ -492,24 +495,51 @@
   }
 
   async #planUntilOver(): Promise<void> {
-    const { clock, metrics } = this.#options;
+    const { clock, metrics, config } = this.#options;
+    let nextRoundMs = Number.NEGATIVE_INFINITY;
     while (!this.#termAbort.signal.aborted && !this.#isLost) {
       const startMs = clock.nowMs();
+      const urgent = this.#plannedRounds.hasUrgentRounds
+        ? mostUrgentPriority(config())
+        : undefined;
+      const isUrgentRound = urgent !== undefined && startMs < nextRoundMs;
       try {
-        this.#planOnce();
+        if (isUrgentRound) this.#planUrgent(urgent);
+        else this.#planOnce();
       } catch (error) {
         // Leases are renewed elsewhere; the next round tries again.
         this.#background.logFailure(error);
       }
-      const spentMs = clock.nowMs() - startMs;
-      metrics.recordMs("plan_round", spentMs);
+      const nowMs = clock.nowMs();
+      const spentMs = nowMs - startMs;
+      metrics.recordMs(isUrgentRound ? "urgent_round" : "plan_round", spentMs);
       // The pause leaves processor time for orders and reports.
       const pauseMs = Math.max(MIN_PLAN_PAUSE_MS, spentMs * PLAN_PAUSE_FACTOR);
-      await clock.sleep(pauseMs, this.#termAbort.signal);
-      await this.#planSignal.wait(MAX_PLAN_INTERVAL_MS);
+      if (!isUrgentRound) nextRoundMs = nowMs + pauseMs;
+      const isPauseShort = urgent !== undefined && !isUrgentRound;
+      await clock.sleep(
+        isPauseShort ? MIN_PLAN_PAUSE_MS : pauseMs,
+        this.#termAbort.signal,
+      );
+      if (!isUrgentRound) await this.#planSignal.wait(MAX_PLAN_INTERVAL_MS);
+      else {
+        // What woke the urgent round may concern other jobs, too.
+        const leftMs = nextRoundMs - clock.nowMs();
+        if (leftMs > 0) await this.#planSignal.wait(leftMs);
+      }
     }
   }
 
+  /** Plans jobs of the most urgent queues between two rounds over all jobs. */
+  #planUrgent(priority: number): void {
+    if (!this.#leaderLease.isValid) return;
+    const limit = this.#startLimit;
+    if (limit <= 0) return;
+    const { model } = this.#runMonitor;
+    const options = { ...this.#planningState(), limit, model };
+    this.#sendStarts(this.#plannedRounds.planUrgent(options, priority));
+  }
+
   #planOnce(): void {
     this.#intake.removeFinished();
     this.#workers.removeDeparted({ isSettled: this.#isSettled });
@@ -523,15 +553,21 @@
     this.#board.losses.resolveOpen(this.#planningState().areRunsKnown);
     this.#suspectStarts.giveUpCrashLoops();
     this.#clearance.run(this.#planningState());
+    const limit = this.#startLimit;
+    if (limit <= 0) return;
+    const { model } = this.#runMonitor;
+    const options = { ...this.#planningState(), limit, model };
+    this.#sendStarts(this.#plannedRounds.plan(options));
+  }
+
+  /** Number of starts that may be sent now. */
+  get #startLimit(): number {
     const maxUnanswered =
       MAX_UNANSWERED_STARTS + this.workerCount * UNANSWERED_STARTS_PER_WORKER;
-    const limit = maxUnanswered - this.#workers.unansweredStarts;
-    if (limit <= 0) return;
-    const starts = this.#plannedRounds.plan({
-      ...this.#planningState(),
-      limit,
-      model: this.#runMonitor.model,
-    });
+    return maxUnanswered - this.#workers.unansweredStarts;
+  }
+
+  #sendStarts(starts: readonly Attempt[]): void {
     if (starts.length === 0) return;
     this.#logStarts(starts);
     for (const attempt of starts) {
--- a/packages/planning/src/round_planner.ts
+++ b/packages/planning/src/round_planner.ts
@@ -31,6 +31,8 @@
   readonly isCopying: boolean;
   /** Room is reserved ahead for the most urgent step that does not fit. */
   readonly isLookingAhead: boolean;
+  /** Jobs of the most urgent queues are also planned between the rounds. */
+  readonly hasUrgentRounds: boolean;
 }
 
 /** Starts are planned from what is free at the moment. */
@@ -38,6 +40,7 @@
   isPreempting: false,
   isCopying: false,
   isLookingAhead: false,
+  hasUrgentRounds: false,
 };
 
 /** Workers up to this speed are avoided; little differences are chance. */
@@ -74,6 +77,7 @@
   /** Pools in which tasks found no room in this round. */
   readonly #crowdedPools = new Set<string>();
   #nowMs = 0;
+  #isUrgentRound = false;
 
   constructor(options: RoundPlannerOptions) {
     super();
@@ -134,6 +138,22 @@
     return { starts, preempting, stragglers };
   }
 
+  /**
+   * Plans the jobs of the most urgent queues only, in free room. It costs a small
+   * part of a round over all waiting jobs, so such a job starts without waiting
+   * for the next one.
+   */
+  planUrgent(options: PlanOptions, priorityLimit: number): Attempt[] {
+    this.#isUrgentRound = true;
+    try {
+      const { board } = this.#options;
+      const aid = this.#isIdle ? undefined : this;
+      return planStarts(board, { ...options, priorityLimit, aid });
+    } finally {
+      this.#isUrgentRound = false;
+    }
+  }
+
   override isHeld(task: Task): boolean {
     return this.holds.isHeld(task);
   }
@@ -157,6 +177,8 @@
   }
 
   override onUnplaced(unplaced: UnplacedStep): void {
+    // The next round over all jobs makes room for it, if that is allowed.
+    if (this.#isUrgentRound) return;
     this.#crowdedPools.add(unplaced.stepRun.record.queue?.pool ?? "");
     const { isPreempting, isLookingAhead } = this.#options.features;
     if (isPreempting && this.#preemption.onUnplaced(unplaced)) return;
