--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -413,11 +413,13 @@
 /** Fills in the deploy file's template for settings. */
 function renderSettings(fields) {
   const template = readFileSync(join(ROOT, "deploy", "entry.ini"), "utf8");
-  return template.replace(/\{\{([\w.]+)\}\}/g, (_, path) => {
-    let value = fields;
-    for (const name of path.split(".")) value = value?.[name];
-    return value ?? "";
-  });
+  const find = (path) =>
+    path.split(".").reduce((value, name) => value?.[name], fields);
+  return template
+    .replace(/\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/g, (_, path, section) =>
+      find(path) ? section : "",
+    )
+    .replace(/\{\{([\w.]+)\}\}/g, (_, path) => find(path) ?? "");
 }
 
 async function findFreePorts(count) {
