--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -276,7 +276,10 @@
   async #renew(signal: AbortSignal): Promise<boolean> {
     const { clock, latency } = this.#options;
     const waitMs = this.worker.canGrantLease ? this.#waitMs : 0;
-    const { resendDelayMs } = latency;
+    // Where workers are cut off, more calls to them delay those to others.
+    const resendDelayMs = this.worker.isSilent
+      ? undefined
+      : latency.resendDelayMs;
     let isFirst = true;
     let lastFault: Fault | undefined;
     const { value } = await sendWithResends({
