--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -60,8 +60,8 @@
   {
     name: "config: the time for which another process has not confirmed it counts",
     file: "packages/config/src/config_exchange.ts",
-    from: "sentMs - ageMs",
-    to: "sentMs",
+    from: "sentMs - age;",
+    to: "sentMs;",
     test: CONFIG_EXCHANGE_CASES,
   },
   {
@@ -121,7 +121,7 @@
   {
     name: "jobs: runs of a job that is over are stopped at once",
     file: "packages/leader/src/job_intake.ts",
-    from: "if (job === undefined) board.onClosed(id);",
+    from: "board.onClosed(id);",
     to: "",
     test: "packages/faults/src/cancel_cases_test.ts",
   },
@@ -280,7 +280,7 @@
   {
     name: "crash losses: losses are stored",
     file: "packages/jobs/src/job_record.ts",
-    from: "losses.push(...storedLossesOf(task));",
+    from: "for (const loss of storedLossesOf(task)) losses.push(loss);",
     to: "",
     test: CRASH_LOSSES,
   },
@@ -460,8 +460,8 @@
   {
     name: "jobs that ended are remembered",
     file: "packages/leader/src/job_intake.ts",
-    from: "this.#finished.has(id) || ",
-    to: "",
+    from: "if (history.isOver(id, revision)) {",
+    to: "if (false) {",
     also: {
       file: "packages/process/src/row_follower.ts",
       from: "if (read.val.revision < this.#minRevision) return false;",
@@ -591,10 +591,17 @@
   {
     name: "ends are acknowledged only once they are stored",
     file: "packages/leader/src/worker_link.ts",
-    from: "this.#answeredMs > this.#restartMs ? worker.storedEndNumber : 0;",
-    to: "worker.lastEndNumber;",
+    from: "this.#answeredMs > this.#restartMs ? this.worker.storedEndNumber : 0;",
+    to: "this.worker.lastEndNumber;",
     test: LEADER_CASES,
   },
+  {
+    name: "a renewal that is sent again acknowledges no ends",
+    file: "packages/leader/src/worker_link.ts",
+    from: "{ acknowledged: 0, waitMs: 0 },",
+    to: "{ acknowledged: this.#acknowledgeable, waitMs: 0 },",
+    test: "packages/leader/src/lost_answer_test.ts",
+  },
   {
     name: "a configuration is only replaced by a higher version",
     file: "packages/config/src/queue_config_watcher.ts",
@@ -604,8 +611,8 @@
   },
   {
     name: "a submission demands that its id is free",
-    file: "packages/desk/src/job_service.ts",
-    from: "checks: [{ key: jobKey(job.id), revision: 0 }],",
+    file: "packages/desk/src/submission.ts",
+    from: "checks: [{ key: this.#key, revision: commit.base }],",
     to: "checks: [],",
     test: "packages/desk/src/job_service_test.ts",
   },
@@ -633,8 +640,8 @@
   {
     name: "jobs that wait stay counted until the jobs are read",
     file: "packages/leader/src/progress_store.ts",
-    from: "pending: this.#isStateLoaded",
-    to: "pending: this.#options",
+    from: "const pending = this.#isStateLoaded",
+    to: "const pending = this.#options",
     test: SUCCESSION_CASES,
   },
   {
@@ -646,9 +653,9 @@
   },
   {
     name: "runs on leaving workers are moved",
-    file: "packages/leader/src/term.ts",
-    from: "if (moves.length === 0) return;",
-    to: "if (moves.length >= 0) return;",
+    file: "packages/leader/src/worker_clearance.ts",
+    from: 'board.stop(attempt, "its worker is leaving");',
+    to: "",
     test: WORKER_LOSS_CASES,
   },
   {
