feat(leader): rejected commits are logged with their cause and largest rows

The leader's log said "the job that is the cause is set aside" with rows: 0, so it did not tell which row the table rejects: the state of a job, or one of the rows that only some commits have.

Change: the line of a rejected commit has the fault, the number and size of its rows, and the key and size of the largest ones. The line of the search follows it and names the jobs that are set aside by then.

--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -85,6 +85,8 @@
 const WRITES_PER_MOVE = 2;
 /** Most jobs that a log line lists. */
 const MAX_LOGGED_JOBS = 5;
+/** Most rows of a rejected commit that a log line lists. */
+const MAX_LOGGED_ROWS = 3;
 
 /**
  * Stores the progress of jobs in batches. Each commit also writes the
@@ -231,28 +233,31 @@
     // Until this commit is known to have succeeded, it is not known which roster
     // is stored: it may still take effect.
     if (isRosterNew) this.#storedRoster = undefined;
+    const writes = [
+      leadershipWrite(row),
+      ...batch.writes,
+      ...historyWrites,
+      ...this.#createModelWrite(sentMs, isReleased),
+      ...(isReleased && isWhole
+        ? createRunRows(workers, { epoch: row.epoch, nowMs: sentMs })
+        : []),
+      ...(isRosterNew
+        ? [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }]
+        : []),
+    ];
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
-      writes: [
-        leadershipWrite(row),
-        ...batch.writes,
-        ...historyWrites,
-        ...this.#createModelWrite(sentMs, isReleased),
-        ...(isReleased && isWhole
-          ? createRunRows(workers, { epoch: row.epoch, nowMs: sentMs })
-          : []),
-        ...(isRosterNew
-          ? [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }]
-          : []),
-      ],
+      writes,
     });
     metrics.recordMs("progress_commit", clock.nowMs() - sentMs);
     const revision = done.ok
       ? done.val.revision
       : await this.#resolveOutcome(row, done.val);
     if (revision === undefined) {
-      if (done.err && isRejection(done.val)) this.#onRejected(batch);
-      else this.#batches.onFailed(batch);
+      if (done.err && isRejection(done.val)) {
+        this.#logRejection(done.val, writes);
+        this.#onRejected(batch);
+      } else this.#batches.onFailed(batch);
       return false;
     }
     this.#batches.onStored(batch, clock.nowMs());
@@ -371,19 +376,36 @@
     return undefined;
   }
 
+  /** Logs which rows a rejected commit had, the largest first. */
+  #logRejection({ message }: Fault, writes: readonly Write[]): void {
+    const { journal, metrics } = this.#options;
+    metrics.count("rejected_commits");
+    const rows = writes
+      .map(({ key, value }) => ({ key, bytes: Buffer.byteLength(value ?? "") }))
+      .sort((a, b) => b.bytes - a.bytes);
+    journal.error(
+      "The table rejects a commit of the leader for its contents.",
+      {
+        cause: message,
+        rows: rows.length,
+        bytes: rows.reduce((sum, { bytes }) => sum + bytes, 0),
+        largest: rows.slice(0, MAX_LOGGED_ROWS),
+      },
+    );
+  }
+
   /** Looks for the job whose state the table rejects. */
   #onRejected(batch: StateBatch): void {
-    const { clock, journal, metrics } = this.#options;
-    metrics.count("rejected_commits");
+    const { clock, journal } = this.#options;
+    this.#batches.onRejected(batch, clock.nowMs());
     journal.error(
-      "The table rejects what the leader stores; the job that is the cause is set aside.",
+      "The leader looks for the job whose state the table rejects; it is set aside.",
       {
         jobs: batch.records.slice(0, MAX_LOGGED_JOBS).map(({ job }) => job.id),
         rows: batch.writes.length,
         setAside: this.#batches.listRejected().slice(0, MAX_LOGGED_JOBS),
       },
     );
-    this.#batches.onRejected(batch, clock.nowMs());
   }
 
   #snapshotEnds() {
