fix(leader): ends of runs are acknowledged only once their job's state is stored

Tasks that were done started again 6.4 s (c..3b.0.0.0) and 12.3 s (c..22.0.1.0) later, after the leader was killed, although their ends had been noted by the workers' lastSeen 0.15 and 0.2 s after they were listed.

Cause: a commit acknowledged the ends of all workers if no job waited to be stored. Jobs that are set aside because the table rejects their state are not among those that wait, so their ends were acknowledged, too. The next leader read an old state, and the workers no longer listed the ends.

Change: each worker's record keeps which jobs its unacknowledged ends concern. A commit acknowledges ends up to the first one of a job that is set aside, and the lists of runs for the next leader leave out workers with ends that are not stored.

Why it works: an end that is not acknowledged is listed again to the next leader, which applies it to the job before it starts anything. Why these jobs are set aside though nothing is wrong with their state is another fault.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -304,9 +304,7 @@
 
   /** Forgets the ends that the worker has reported so far. */
   #resetReports(worker: WorkerRecord): void {
-    worker.lastEndNumber = 0;
-    worker.storedEndNumber = 0;
-    worker.deferredEnds = [];
+    worker.resetEnds();
     worker.unknownRuns = [];
     worker.bornMs = 0;
   }
@@ -456,6 +454,7 @@
     const record = this.jobs.get(ended.task.jobId);
     const task = record && findTask(record, ended.task);
     if (record === undefined || task === undefined) return;
+    worker.onEndApplied(ended);
     task.wasAtWork = true;
     task.lastRun = Math.max(task.lastRun, ended.run);
     const attempt = task.attempts.find(
--- a/packages/jobs/src/stored_runs.ts
+++ b/packages/jobs/src/stored_runs.ts
@@ -20,8 +20,8 @@
 
 /** Which ends of runs are stored. */
 export interface StoredEnds {
-  /** Whether all ends that were processed are stored, or are with this commit. */
-  readonly areAllStored: boolean;
+  /** Number up to which ends of a worker are stored, or are with this commit. */
+  readonly storedEndOf: (worker: WorkerRecord) => number;
 }
 
 /** Lists what may run on workers that do not answer, by worker id. */
@@ -49,12 +49,12 @@
  */
 export function createRunRows(
   workers: Iterable<WorkerRecord>,
-  { epoch, nowMs }: { epoch: number; nowMs: number },
+  { epoch, nowMs, ...ends }: StoredEnds & { epoch: number; nowMs: number },
 ): Write[] {
   const pages: [string, WorkerRuns][][] = [[]];
   let runs = 0;
   for (const worker of workers) {
-    if (!isComplete(worker, { areAllStored: true })) continue;
+    if (!isComplete(worker, ends)) continue;
     const leaseLeftMs = Math.max(0, Math.ceil(worker.leaseExpiryMs - nowMs));
     const entry = { ...describeRuns(worker), leaseLeftMs };
     const page = pages.at(-1) ?? [];
@@ -102,13 +102,13 @@
  */
 function isComplete(
   worker: WorkerRecord,
-  { areAllStored }: StoredEnds,
+  { storedEndOf }: StoredEnds,
 ): boolean {
   return (
     worker.areRunsKnown &&
     worker.unknownRuns.length === 0 &&
     worker.deferredEnds.length === 0 &&
-    (areAllStored || worker.storedEndNumber >= worker.lastEndNumber)
+    storedEndOf(worker) >= worker.lastEndNumber
   );
 }
 
--- a/packages/jobs/src/stored_runs_test.ts
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -7,6 +7,10 @@
 import { createJob, createStep, createWorkerInfo } from "./test_samples";
 import type { WorkerRecord } from "./worker_record";
 
+/** Ends are stored as soon as they are known. */
+const ALL_STORED = {
+  storedEndOf: ({ lastEndNumber }: WorkerRecord) => lastEndNumber,
+};
 const JOB = createJob("a", [createStep({ count: 1500 })]);
 const NAME = { jobId: "b", occurrence: 0, step: 0, index: 0 };
 
@@ -58,13 +62,15 @@
     prepare(first);
     first.isSilent = true;
     second.isSilent = true;
-    const rows = createRunRows(board.workers.values(), { epoch: 1, nowMs: 0 });
+    const rows = createRunRows(board.workers.values(), {
+      epoch: 1,
+      nowMs: 0,
+      ...ALL_STORED,
+    });
     const stored = rows.map((row) => readRuns({ value: row.value ?? "" }));
     const ids = stored.flatMap((row) => Object.keys(row.unwrap().workers));
     assert.deepEqual(ids, ["w1"]);
-    const silent = listSilentRuns(board.workers.values(), {
-      areAllStored: true,
-    });
+    const silent = listSilentRuns(board.workers.values(), ALL_STORED);
     assert.deepEqual(Object.keys(silent), ["w1"]);
   });
 }
@@ -79,7 +85,11 @@
   board.onStarted(board.onSent(first, 1, worker, 0), 1000);
   board.onSent(second, 1, worker, 0);
   worker.lastReportMs = 21_000;
-  const [row] = createRunRows([worker], { epoch: 1, nowMs: 21_500 });
+  const [row] = createRunRows([worker], {
+    epoch: 1,
+    nowMs: 21_500,
+    ...ALL_STORED,
+  });
   const { workers } = readRuns({ value: row?.value ?? "" }).unwrap();
   const next = createBoard(1);
   const [nextWorker] = next.board.workers.values();
@@ -106,7 +116,11 @@
     assert.ok(worker && first && second);
     board.onSent(first, 1, worker, 0);
     board.onSent(second, 1, worker, 0);
-    const [row] = createRunRows([worker], { epoch: 1, nowMs: 0 });
+    const [row] = createRunRows([worker], {
+      epoch: 1,
+      nowMs: 0,
+      ...ALL_STORED,
+    });
     const { workers } = readRuns({ value: row?.value ?? "" }).unwrap();
     const next = createBoard(1);
     const [nextWorker] = next.board.workers.values();
@@ -133,10 +147,12 @@
   assert.ok(worker);
   worker.isSilent = true;
   worker.lastEndNumber = 3;
-  const list = (areAllStored: boolean) =>
-    Object.keys(listSilentRuns(board.workers.values(), { areAllStored }));
-  assert.deepEqual(list(false), []);
-  assert.deepEqual(list(true), ["w0"]);
+  const list = (storedEnd: number) => {
+    const storedEndOf = () => storedEnd;
+    return Object.keys(listSilentRuns(board.workers.values(), { storedEndOf }));
+  };
+  assert.deepEqual(list(2), []);
+  assert.deepEqual(list(3), ["w0"]);
 });
 
 // Guards against a release that the table rejects because a row is too large.
@@ -148,7 +164,7 @@
     assert.ok(worker);
     board.onSent(task, 5, worker, 0);
   }
-  const rows = createRunRows(workers, { epoch: 4, nowMs: 0 });
+  const rows = createRunRows(workers, { epoch: 4, nowMs: 0, ...ALL_STORED });
   const other = createBoard(300);
   for (const { value } of rows) {
     assert.ok((value ?? "").length < 48_000);
@@ -171,7 +187,7 @@
 test("stored runs: the leadership row lists a limited number of workers", () => {
   const { board } = createBoard(710);
   for (const worker of board.workers.values()) worker.isSilent = true;
-  const silent = listSilentRuns(board.workers.values(), { areAllStored: true });
+  const silent = listSilentRuns(board.workers.values(), ALL_STORED);
   assert.equal(Object.keys(silent).length, 200);
 });
 
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -2,6 +2,17 @@
 import type { Attempt, Task } from "./task";
 import type { EndedRun, RegisteredWorker, RunningRun } from "./task_worker";
 
+/** A run that ended, and the job that its end concerns. */
+interface JobEnd {
+  readonly number: number;
+  readonly jobId: string;
+}
+
+/**
+ * Most ends whose acknowledgement waits until their jobs are stored. A worker
+ * lists 500 ends at a time, so those that follow would not be seen.
+ */
+const MAX_UNSTORED_ENDS = 400;
 /** Average fraction of its reservation that a serving task leaves unused. */
 const UNUSED_FRACTION = 0.5;
 
@@ -57,8 +68,10 @@
   leaseExpiryMs = Number.NEGATIVE_INFINITY;
   /** Highest end number that was processed. */
   lastEndNumber = 0;
-  /** Highest end number whose effect is stored. */
+  /** Highest end number up to which the effects of all ends are stored. */
   storedEndNumber = 0;
+  /** Ends above it that were applied to their jobs. */
+  #appliedEnds: JobEnd[] = [];
   /** Ends of runs whose jobs are not known yet; applied once they are. */
   deferredEnds: EndedRun[] = [];
   /** Active runs, by its last report, whose jobs are not known yet. */
@@ -207,6 +220,49 @@
     return Math.min(this.lastEndNumber, ...numbers);
   }
 
+  /** Records that an end was applied to its job. */
+  onEndApplied({ number, task: { jobId } }: EndedRun): void {
+    this.#appliedEnds.push({ number, jobId });
+  }
+
+  /**
+   * Highest end number up to which the effects of all ends are stored once all
+   * jobs are, except those that are listed.
+   */
+  storableEndNumber(unstoredJobs: ReadonlySet<string>): number {
+    const processed = this.processedEndNumber;
+    if (unstoredJobs.size === 0) return processed;
+    const held = this.#appliedEnds
+      .filter(({ jobId }) => unstoredJobs.has(jobId))
+      .map(({ number }) => number - 1);
+    // A job that cannot be stored does not keep ends of other jobs from being seen.
+    const least = this.lastEndNumber - MAX_UNSTORED_ENDS;
+    return Math.min(processed, Math.max(least, Math.min(processed, ...held)));
+  }
+
+  /**
+   * Records that ends up to this number are stored. Returns how many of them are
+   * not, because their jobs are listed: these are acknowledged all the same.
+   */
+  onEndsStored(number: number, unstoredJobs: ReadonlySet<string>): number {
+    this.storedEndNumber = number;
+    let unstored = 0;
+    this.#appliedEnds = this.#appliedEnds.filter((end) => {
+      if (end.number > number) return true;
+      if (unstoredJobs.has(end.jobId)) unstored += 1;
+      return false;
+    });
+    return unstored;
+  }
+
+  /** Forgets all ends that it has reported. */
+  resetEnds(): void {
+    this.lastEndNumber = 0;
+    this.storedEndNumber = 0;
+    this.#appliedEnds = [];
+    this.deferredEnds = [];
+  }
+
   /** CPU to divide by for shares, in thousandths of a core; above zero. */
   get cpuCapacityMilli(): number {
     return Math.max(1, this.info.capacity.cpuMilli);
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -10,7 +10,11 @@
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
 import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
-import { createRunRows, listSilentRuns } from "@laburnumtrack/jobs/stored_runs";
+import {
+  createRunRows,
+  listSilentRuns,
+  type StoredEnds,
+} from "@laburnumtrack/jobs/stored_runs";
 import type { JobRecord } from "@laburnumtrack/jobs/task";
 import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import type { Journal } from "@laburnumtrack/process/journal";
@@ -208,7 +212,11 @@
     const { clock, table, metrics } = this.#options;
     const batch = this.#batches.take(clock.nowMs());
     const { isWhole } = batch;
-    const ends = isWhole ? this.#snapshotEnds() : [];
+    const storedEndOf = (worker: WorkerRecord) =>
+      isWhole
+        ? worker.storableEndNumber(batch.setAside)
+        : worker.storedEndNumber;
+    const ends = isWhole ? this.#snapshotEnds(storedEndOf) : [];
     this.#sequence += 1;
     const row: Leadership = {
       ...this.#held.row,
@@ -217,7 +225,7 @@
       successor,
       formerRightMs: this.#options.formerLeases.rightMs,
       leaseMs: this.#options.formerLeases.longestMs,
-      ...this.#describeSilent(isWhole),
+      ...this.#describeSilent(storedEndOf),
       ...this.describePending(),
       // The load that a former leader saw is outdated.
       load: this.#isStateLoaded ? this.#options.load?.() : undefined,
@@ -239,7 +247,11 @@
       ...historyWrites,
       ...this.#createModelWrite(sentMs, isReleased),
       ...(isReleased && isWhole
-        ? createRunRows(workers, { epoch: row.epoch, nowMs: sentMs })
+        ? createRunRows(workers, {
+            epoch: row.epoch,
+            nowMs: sentMs,
+            storedEndOf,
+          })
         : []),
       ...(isRosterNew
         ? [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }]
@@ -269,7 +281,9 @@
       worker.isListedSilent = Object.hasOwn(row.silent, worker.id);
     }
     for (const { worker, end, bornMs } of ends) {
-      if (worker.bornMs === bornMs) worker.storedEndNumber = end;
+      if (worker.bornMs !== bornMs) continue;
+      const unstored = worker.onEndsStored(end, batch.setAside);
+      if (unstored > 0) metrics.count("unstored_ends_acknowledged", unstored);
     }
     for (const record of finals) this.#options.onFinalStored(record);
     this.#options.history?.onWritten(historyWrites);
@@ -287,7 +301,7 @@
 
   /** What the next leader has to know of workers that do not answer. */
   #describeSilent(
-    areAllStored: boolean,
+    storedEndOf: StoredEnds["storedEndOf"],
   ): Pick<Leadership, "silent" | "silentRuns"> {
     const { formerLeases, held, workers } = this.#options;
     // Until the workers are read, the former leader's word is kept.
@@ -296,7 +310,7 @@
       return { silent: formerLeases.listSilent(), silentRuns };
     }
     const silent = this.#listSilent();
-    const silentRuns = listSilentRuns(workers(), { areAllStored });
+    const silentRuns = listSilentRuns(workers(), { storedEndOf });
     return { silent, silentRuns };
   }
 
@@ -408,10 +422,10 @@
     );
   }
 
-  #snapshotEnds() {
+  #snapshotEnds(storedEndOf: StoredEnds["storedEndOf"]) {
     return [...this.#options.workers()].map((worker) => ({
       worker,
-      end: worker.processedEndNumber,
+      end: storedEndOf(worker),
       bornMs: worker.bornMs,
     }));
   }
--- a/packages/leader/src/state_batches.ts
+++ b/packages/leader/src/state_batches.ts
@@ -16,8 +16,13 @@
   readonly writes: readonly Write[];
   /** Number of further rows that the state of each job has. */
   readonly parts: readonly number[];
-  /** Whether no other job waits to be stored. */
+  /**
+   * Whether no other job waits to be stored, except for rejected ones that are
+   * set aside.
+   */
   readonly isWhole: boolean;
+  /** Jobs that are set aside and not in the batch. */
+  readonly setAside: ReadonlySet<string>;
 }
 
 /**
@@ -93,7 +98,10 @@
       this.#dirty.delete(id);
       this.#committing.add(id);
     }
-    return { records: taken, writes, parts, isWhole: this.#dirty.size === 0 };
+    const isWhole = this.#dirty.size === 0;
+    const setAside = new Set(this.#setAside.keys());
+    for (const { job } of taken) setAside.delete(job.id);
+    return { records: taken, writes, parts, isWhole, setAside };
   }
 
   /** Notes that a commit with the batch took effect. */
--- a/packages/standins/src/feed_table_standin.ts
+++ b/packages/standins/src/feed_table_standin.ts
@@ -54,6 +54,8 @@
   readonly refusedCommits = new Set<string>();
   /** Key prefixes of which no snapshots can be read. */
   readonly refusedPrefixes = new Set<string>();
+  /** Keys of rows because of which commits are rejected. */
+  readonly rejectedKeys = new Set<string>();
   /** Size of a row, in bytes, above which commits are rejected. */
   rowLimitBytes = Number.POSITIVE_INFINITY;
   /** Size of all writes, in bytes, above which a commit is rejected. */
@@ -164,7 +166,7 @@
   ): Promise<Result<Commit, Fault>> {
     const fault = await this.#admit();
     if (fault !== undefined) return Err(fault);
-    if (this.#isTooLarge(transaction))
+    if (this.#isRejected(transaction))
       return Err(new Fault(FaultCode.Malformed));
     if (this.fault === TableFault.Late) {
       void this.#commitLate(transaction);
@@ -179,7 +181,8 @@
     return done;
   }
 
-  #isTooLarge({ writes }: Transaction): boolean {
+  #isRejected({ writes }: Transaction): boolean {
+    if (writes.some(({ key }) => this.rejectedKeys.has(key))) return true;
     const sizes = writes.map(({ value }) => Buffer.byteLength(value ?? ""));
     const sum = sizes.reduce((total, size) => total + size, 0);
     return (
