fix(leader): changes during the retry of a rejected state are stored

A job that ends during the commit that tries its rejected state again would be shown as running for good.

Cause: a change of a job that is set aside was only noted by the entry of the job among those set aside. That entry goes away when the retry succeeds, also if the job changed after its state was encoded for the commit under way.

Evidence: "state batches: a job that changes during the retry of its state is stored when that succeeds" failed on: the job counted as stored and no later batch had it.

Change: a job that changes while its retry is under way waits to be stored again; if the retry does not succeed, it is only set aside, as before.

--- a/packages/leader/src/state_batches.ts
+++ b/packages/leader/src/state_batches.ts
@@ -72,7 +72,9 @@
   /** Schedules the state of a job to be stored. */
   add(record: JobRecord): void {
     const { id } = record.job;
-    if (!this.#setAside.has(id)) this.#dirty.set(id, record);
+    // The commit under way may lack the change.
+    const isRetried = this.#committing.has(id);
+    if (isRetried || !this.#setAside.has(id)) this.#dirty.set(id, record);
   }
 
   /** The jobs that the next commit should store. */
@@ -121,7 +123,11 @@
   /** Notes that a commit with the batch may not have taken effect. */
   onFailed({ records }: StateBatch): void {
     this.#committing.clear();
-    for (const record of records) this.add(record);
+    for (const record of records) {
+      const { id } = record.job;
+      if (this.#setAside.has(id)) this.#dirty.delete(id);
+      else this.#dirty.set(id, record);
+    }
   }
 
   /** Notes that the table rejected a commit with the batch for its contents. */
