fix(leader): a job is set aside only if its own state is rejected

Cause: a commit has rows beside the states of jobs (what is learnt of images, the roster, moves of finished jobs, runs at a release), and only some commits have them. When one of these rows was rejected, the search went on over the jobs of that commit. Its last step, a commit without jobs, had none of these rows and was accepted, so the last job was taken for the cause. A rejection that was over by then convicted a job as well.

Change: rows beside states are groups. The groups of a rejected commit are left out of the next ones and then tried one by one without jobs; one that is rejected alone is tried again each 10 s. The search over jobs begins only when a commit without groups is rejected, and a job is set aside when a commit without jobs was accepted and the job is rejected once more.

Why it works: a job is now set aside by commits that hold nothing but the leadership row and its state.

--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -21,6 +21,7 @@
 import type { Metrics } from "@laburnumtrack/process/metrics";
 import type { FormerLeases } from "./former_leases";
 import { type JobHistory, MAX_MOVES_PER_COMMIT } from "./job_history";
+import { RowGroup, RowGroups } from "./row_groups";
 import {
   MAX_ROWS_PER_COMMIT,
   type StateBatch,
@@ -74,6 +75,19 @@
   readonly successor: string;
 }
 
+/** What the groups of rows of a commit depend on. */
+interface GroupContents {
+  /** Monotonic ms at which the commit is sent. */
+  readonly sentMs: number;
+  /** Workers that the roster should list. */
+  readonly rostered: readonly WorkerRecord[];
+  /** Number of rows with states in the commit. */
+  readonly used: number;
+  /** Creates the rows with the runs on workers; undefined if they are not due. */
+  readonly runs: (() => readonly Write[]) | undefined;
+  readonly isReleased: boolean;
+}
+
 /** Pause after a commit during which changes are batched, in ms. */
 const BATCH_PAUSE_MS = 30;
 /**
@@ -102,6 +116,7 @@
   readonly #options: ProgressStoreOptions;
   readonly #wake: Signal;
   readonly #batches = new StateBatches();
+  readonly #groups = new RowGroups();
   #held: HeldLeadership;
   /** Sequence number of the last commit sent; unique to each commit. */
   #sequence: number;
@@ -210,7 +225,13 @@
   /** Commits once; false when the commit failed or its outcome is unknown. */
   async commit({ isReleased, successor }: CommitOptions): Promise<boolean> {
     const { clock, table, metrics } = this.#options;
-    const batch = this.#batches.take(clock.nowMs());
+    const sentMs = clock.nowMs();
+    const canTry = !isReleased && !this.#batches.isSearching;
+    const tried = canTry ? this.#groups.nextTry(sentMs) : undefined;
+    const batch =
+      tried === undefined
+        ? this.#batches.take(sentMs)
+        : this.#batches.takeNone();
     const { isWhole } = batch;
     const storedEndOf = (worker: WorkerRecord) =>
       isWhole
@@ -233,29 +254,32 @@
     const finals = batch.records.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
     const rostered = updateRostered(workers);
-    const isRosterNew =
-      this.#isStateLoaded && !isRosterOf(this.#storedRoster, rostered);
-    const sentRoster = isRosterNew ? rosterOf(rostered) : this.#storedRoster;
-    const historyWrites = this.#listHistoryWrites(batch.writes.length);
-    const sentMs = clock.nowMs();
+    const groups = this.#createGroups(tried, {
+      sentMs,
+      rostered,
+      used: batch.writes.length,
+      runs:
+        isReleased && isWhole
+          ? () =>
+              createRunRows(workers, {
+                epoch: row.epoch,
+                nowMs: sentMs,
+                storedEndOf,
+              })
+          : undefined,
+      isReleased,
+    });
+    const isRosterSent = groups.has(RowGroup.Roster);
+    const sentRoster = isRosterSent ? rosterOf(rostered) : this.#storedRoster;
+    const isRosterKnown = isRosterOf(sentRoster, rostered);
     // Until this commit is known to have succeeded, it is not known which roster
     // is stored: it may still take effect.
-    if (isRosterNew) this.#storedRoster = undefined;
+    const formerRoster = this.#storedRoster;
+    if (isRosterSent) this.#storedRoster = undefined;
     const writes = [
       leadershipWrite(row),
       ...batch.writes,
-      ...historyWrites,
-      ...this.#createModelWrite(sentMs, isReleased),
-      ...(isReleased && isWhole
-        ? createRunRows(workers, {
-            epoch: row.epoch,
-            nowMs: sentMs,
-            storedEndOf,
-          })
-        : []),
-      ...(isRosterNew
-        ? [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }]
-        : []),
+      ...[...groups.values()].flat(),
     ];
     const done = await table.commit({
       checks: [{ key: LEADER_KEY, revision: this.#held.revision }],
@@ -267,16 +291,21 @@
       : await this.#resolveOutcome(row, done.val);
     if (revision === undefined) {
       if (done.err && isRejection(done.val)) {
+        // A rejected commit has no effect, also not later.
+        this.#storedRoster = formerRoster;
         this.#logRejection(done.val, writes);
-        this.#onRejected(batch);
+        this.#onRejected(batch, [...groups.keys()], tried);
       } else this.#batches.onFailed(batch);
       return false;
     }
-    this.#batches.onStored(batch, clock.nowMs());
+    this.#batches.onStored(batch);
+    this.#groups.onStored(groups.keys());
     this.#held = { row, revision };
     this.#lastCommitSentMs = sentMs;
     this.#storedRoster = sentRoster;
-    for (const worker of rostered) worker.isRostered = true;
+    if (isRosterKnown) {
+      for (const worker of rostered) worker.isRostered = true;
+    }
     for (const worker of workers) {
       worker.isListedSilent = Object.hasOwn(row.silent, worker.id);
     }
@@ -286,14 +315,41 @@
       if (unstored > 0) metrics.count("unstored_ends_acknowledged", unstored);
     }
     for (const record of finals) this.#options.onFinalStored(record);
-    this.#options.history?.onWritten(historyWrites);
+    this.#options.history?.onWritten(groups.get(RowGroup.History) ?? []);
     this.#onCommitted();
     return true;
   }
 
+  /** Groups of rows that a commit contains besides states of jobs. */
+  #createGroups(
+    tried: RowGroup | undefined,
+    { sentMs, rostered, used, runs, isReleased }: GroupContents,
+  ): Map<RowGroup, readonly Write[]> {
+    const groups = new Map<RowGroup, readonly Write[]>();
+    if (!this.#isStateLoaded || this.#batches.isSearching) return groups;
+    const add = (group: RowGroup, create: () => readonly Write[]) => {
+      const isWanted =
+        tried === undefined ? this.#groups.isAllowed(group) : group === tried;
+      const writes = isWanted ? create() : [];
+      if (writes.length > 0) groups.set(group, writes);
+    };
+    add(RowGroup.History, () => this.#listHistoryWrites(used));
+    const isForced = isReleased || tried === RowGroup.Model;
+    add(RowGroup.Model, () => this.#createModelWrite(sentMs, isForced));
+    add(RowGroup.Runs, () => runs?.() ?? []);
+    add(RowGroup.Roster, () =>
+      isRosterOf(this.#storedRoster, rostered)
+        ? []
+        : [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }],
+    );
+    // There is nothing left of the group that was to be tried.
+    if (tried !== undefined && groups.size === 0)
+      this.#groups.onStored([tried]);
+    return groups;
+  }
+
   /** Writes about finished jobs for which a commit of `used` rows has room. */
-  #listHistoryWrites(used: number): Write[] {
-    if (!this.#isStateLoaded || this.#batches.isSearching) return [];
+  #listHistoryWrites(used: number): readonly Write[] {
     const room = Math.floor((MAX_ROWS_PER_COMMIT - used) / WRITES_PER_MOVE);
     const { history } = this.#options;
     return history?.listWrites(Math.min(room, MAX_MOVES_PER_COMMIT)) ?? [];
@@ -332,9 +388,8 @@
   }
 
   /** Write of the pressure model, if one is due. */
-  #createModelWrite(nowMs: number, isReleased: boolean): Write[] {
-    if (!this.#isStateLoaded) return [];
-    if (nowMs - this.#modelWrittenMs < MODEL_WRITE_INTERVAL_MS && !isReleased)
+  #createModelWrite(nowMs: number, isForced: boolean): Write[] {
+    if (nowMs - this.#modelWrittenMs < MODEL_WRITE_INTERVAL_MS && !isForced)
       return [];
     this.#modelWrittenMs = nowMs;
     const value = JSON.stringify(this.#options.exportModel());
@@ -408,10 +463,27 @@
     );
   }
 
-  /** Looks for the job whose state the table rejects. */
-  #onRejected(batch: StateBatch): void {
+  /** Looks for the group of rows or the job that the table rejects. */
+  #onRejected(
+    batch: StateBatch,
+    groups: readonly RowGroup[],
+    tried: RowGroup | undefined,
+  ): void {
     const { clock, journal } = this.#options;
-    this.#batches.onRejected(batch, clock.nowMs());
+    const nowMs = clock.nowMs();
+    if (groups.length > 0) {
+      const isAlone = tried !== undefined;
+      this.#batches.onFailed(batch);
+      this.#groups.onRejected(groups, { isAlone, nowMs });
+      journal.error(
+        isAlone
+          ? "The table rejects a group of rows of the leader, which is left out for a while."
+          : "The leader looks for the group of rows that the table rejects.",
+        { groups },
+      );
+      return;
+    }
+    this.#batches.onRejected(batch, nowMs);
     journal.error(
       "The leader looks for the job whose state the table rejects; it is set aside.",
       {
--- a/packages/leader/src/rejected_rows_test.ts
+++ b/packages/leader/src/rejected_rows_test.ts
@@ -1,16 +1,27 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createJobRecord } from "@laburnumtrack/jobs/job_record";
-import { stateKey } from "@laburnumtrack/jobs/job_rows";
+import {
+  endedKey,
+  LEARNT_KEY,
+  ROSTER_KEY,
+  stateKey,
+} from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
 import type { JobRecord } from "@laburnumtrack/jobs/task";
-import { createJob, createStep } from "@laburnumtrack/jobs/test_samples";
+import {
+  createJob,
+  createStep,
+  createWorkerInfo,
+} from "@laburnumtrack/jobs/test_samples";
+import { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import { createJournal } from "@laburnumtrack/process/journal";
 import { Metrics } from "@laburnumtrack/process/metrics";
 import { FeedTableStandin } from "@laburnumtrack/standins/feed_table_standin";
 import { VirtualClock } from "@laburnumtrack/standins/virtual_clock";
 import { FormerLeases } from "./former_leases";
+import { JobHistory } from "./job_history";
 import { leadershipWrite, ProgressStore } from "./progress_store";
 
 const ROW: Leadership = {
@@ -25,6 +36,7 @@
   pending: {},
 };
 const JOBS = 100;
+const FINISHED_ID = "00000000000000ff";
 const ROW_LIMIT_BYTES = 2000;
 /** Time in which the states of the other jobs are to be stored, in ms. */
 const STORE_MS = 1500;
@@ -72,6 +84,54 @@
   });
 }
 
+/** Rows that only some commits have, one of which the table rejects. */
+const GROUP_CASES: readonly { readonly name: string; readonly key: string }[] =
+  [
+    { name: "the learnt interference", key: LEARNT_KEY },
+    { name: "the roster", key: ROSTER_KEY },
+    { name: "the outcome of a finished job", key: endedKey(FINISHED_ID) },
+  ];
+
+for (const { name, key } of GROUP_CASES) {
+  // Guards against jobs that are set aside, and whose progress is lost with the
+  // leader, because another row of the same commit was rejected.
+  test(`rejected rows: no job is set aside while the table rejects ${name}`, async () => {
+    const clock = new VirtualClock();
+    const table = new FeedTableStandin(clock);
+    const store = await createStore(clock, table);
+    table.rejectedKeys.add(key);
+    const abort = new AbortController();
+    const running = store.run(abort.signal);
+    const dirtySinceMs = new Map<string, number>();
+    let longestMs = 0;
+    for (let number = 0; number < 100; number += 1) {
+      const record = createRecord(`${number}`, false);
+      store.markDirty(record);
+      dirtySinceMs.set(record.job.id, clock.nowMs());
+      await clock.run(clock.nowMs() + 250);
+      for (const [id, sinceMs] of dirtySinceMs) {
+        longestMs = Math.max(longestMs, clock.nowMs() - sinceMs);
+        if (store.isStored(id)) dirtySinceMs.delete(id);
+      }
+    }
+    assert.ok(longestMs < STORE_MS, `a job was not stored for ${longestMs} ms`);
+    const others = GROUP_CASES.map((other) => other.key).filter(
+      (other) => other !== key,
+    );
+    const read = table.get(others);
+    await clock.run(clock.nowMs() + 100);
+    assert.equal((await read).unwrap().length, others.length);
+    table.rejectedKeys.clear();
+    await clock.run(clock.nowMs() + 12_000);
+    const after = table.get([key]);
+    await clock.run(clock.nowMs() + 100);
+    assert.equal((await after).unwrap().length, 1);
+    abort.abort();
+    await clock.run(clock.nowMs() + 1000);
+    await running;
+  });
+}
+
 // Guards against jobs that are set aside although another row is the cause.
 test("rejected rows: no job is set aside while the table rejects all commits", async () => {
   const clock = new VirtualClock();
@@ -118,14 +178,27 @@
 ): Promise<ProgressStore> {
   const taken = table.commit({ checks: [], writes: [leadershipWrite(ROW)] });
   await clock.run(clock.nowMs() + 100);
+  const metrics = new Metrics();
+  const history = new JobHistory({
+    clock,
+    table,
+    metrics,
+    retentionMs: 60_000,
+    isOnBoard: () => false,
+  });
+  const finished = { phase: JobPhase.Completed, sinceMs: 0, revision: 1 };
+  history.onFinalState(FINISHED_ID, finished);
+  history.onRowClosed(FINISHED_ID, { revision: 1 });
+  const worker = new WorkerRecord(createWorkerInfo("w0"));
   const store = new ProgressStore({
     clock,
     table,
     journal: createJournal("test", "fatal"),
-    metrics: new Metrics(),
+    metrics,
+    history,
     held: { row: ROW, revision: (await taken).unwrap().revision },
     acquireSentMs: 0,
-    workers: () => [],
+    workers: () => [worker],
     formerLeases: new FormerLeases({
       clock,
       acceptedMs: 6000,
--- a/packages/leader/src/state_batches.ts
+++ b/packages/leader/src/state_batches.ts
@@ -25,10 +25,18 @@
   readonly setAside: ReadonlySet<string>;
 }
 
+/** A job that may be the cause of a rejected commit. */
+interface Suspect {
+  readonly record: JobRecord;
+  /** Whether the table has accepted a commit without jobs since its rejection. */
+  isLikely: boolean;
+}
+
 /**
  * The jobs whose states are to be stored, in batches that a commit has room for.
  * When the table rejects a commit for what it contains, the batches are halved
- * until the job is found; it is set aside and tried alone from time to time, so
+ * until one job is left. It is set aside if the table accepts a commit without
+ * jobs and rejects that job again; it is then tried alone from time to time, so
  * that the others are stored.
  */
 export class StateBatches {
@@ -43,7 +51,7 @@
   /** Most jobs in a batch; 0 to find out whether anything else is rejected. */
   #limit = MAX_ROWS_PER_COMMIT;
   /** The job of a rejected batch that had no other. */
-  #suspect: JobRecord | undefined;
+  #suspect: Suspect | undefined;
 
   /** Number of jobs whose state is not stored yet, without those set aside. */
   get size(): number {
@@ -106,15 +114,24 @@
     return { records: taken, writes, parts, isWhole, setAside };
   }
 
+  /** A batch without jobs. */
+  takeNone(): StateBatch {
+    const isWhole = this.#dirty.size === 0;
+    const setAside = new Set(this.#setAside.keys());
+    return { records: [], writes: [], parts: [], isWhole, setAside };
+  }
+
   /** Notes that a commit with the batch took effect. */
-  onStored({ records, parts }: StateBatch, nowMs: number): void {
+  onStored({ records, parts }: StateBatch): void {
     this.#committing.clear();
     for (const [index, record] of records.entries()) {
       this.#setAside.delete(record.job.id);
       record.storedParts = parts[index] ?? 0;
     }
     if (this.#suspect !== undefined && records.length === 0) {
-      this.#putAside(this.#suspect, nowMs);
+      this.#suspect.isLikely = true;
+      this.#limit = 1;
+      return;
     }
     this.#suspect = undefined;
     this.#limit = Math.min(MAX_ROWS_PER_COMMIT, Math.max(1, 2 * this.#limit));
@@ -139,7 +156,15 @@
       this.#putAside(first, nowMs);
       return;
     }
-    this.#suspect = records.length === 1 ? first : undefined;
+    if (this.#suspect?.isLikely && this.#suspect.record === first) {
+      this.#putAside(first, nowMs);
+      this.#suspect = undefined;
+      return;
+    }
+    this.#suspect =
+      first !== undefined && records.length === 1
+        ? { record: first, isLikely: false }
+        : undefined;
     this.#limit = Math.floor(records.length / 2);
     // Something else is the cause; the search begins anew.
     if (records.length === 0) this.#limit = 1;
@@ -156,6 +181,7 @@
         if (retryMs <= nowMs) return [record];
       }
     }
+    if (this.#suspect?.isLikely) return [this.#suspect.record];
     return [...this.#dirty.values()].slice(0, this.#limit);
   }
 
--- a/packages/leader/src/state_batches_test.ts
+++ b/packages/leader/src/state_batches_test.ts
@@ -14,7 +14,7 @@
 }[] = [
   {
     name: "succeeds",
-    end: (batches, batch) => batches.onStored(batch, RETRY_MS),
+    end: (batches, batch) => batches.onStored(batch),
   },
   { name: "fails", end: (batches, batch) => batches.onFailed(batch) },
   {
@@ -39,18 +39,35 @@
     assert.equal(batches.isStored(record.job.id), false);
     const next = batches.take(2 * RETRY_MS);
     assert.deepEqual(next.records, [record]);
-    batches.onStored(next, 2 * RETRY_MS);
+    batches.onStored(next);
     assert.equal(batches.isStored(record.job.id), true);
     assert.deepEqual(batches.take(3 * RETRY_MS).records, []);
   });
 }
 
+// Guards against a job that is set aside although the table had rejected all
+// commits for a while, whatever they contained.
+test("state batches: a job that the table accepts later is not set aside", () => {
+  const batches = new StateBatches();
+  const record = createRecord();
+  batches.add(record);
+  batches.onRejected(batches.take(0), 0);
+  const empty = batches.take(0);
+  assert.deepEqual(empty.records, []);
+  batches.onStored(empty);
+  assert.deepEqual(batches.listRejected(), []);
+  const next = batches.take(0);
+  assert.deepEqual(next.records, [record]);
+  batches.onStored(next);
+  assert.equal(batches.isStored(record.job.id), true);
+});
+
 /** Rejects commits with jobs until the only one is set aside for certain. */
 function reject(batches: StateBatches): void {
   while (batches.listRejected().length === 0 || batches.isSearching) {
     const batch = batches.take(0);
     if (batch.records.length > 0) batches.onRejected(batch, 0);
-    else batches.onStored(batch, 0);
+    else batches.onStored(batch);
   }
 }
 
