fix(jobs): rows with runs on workers are limited in bytes

A release whose rows the table rejects leaves the next leader to wait for all leases, and a leadership row that it rejects ends all commits.

Cause: the rows with runs and the list of runs in the leadership row had limits in entries. Ids of workers are up to 200 bytes, and a single worker may have any number of runs.

--- a/packages/jobs/src/interference_model.ts
+++ b/packages/jobs/src/interference_model.ts
@@ -1,6 +1,6 @@
 import { type FillerShare, InterferenceSamples } from "./interference_samples";
 import type { Step } from "./job";
-import { jsonBytes } from "./json_bytes";
+import { fieldBytes, jsonBytes } from "./json_bytes";
 import { PeriodFinder } from "./period_finder";
 import {
   DEFAULT_INTERFERENCE,
@@ -32,9 +32,6 @@
 /** Times ahead at which the cost of a further filler is evaluated, in ms. */
 const HORIZONS_MS: readonly number[] = [400, 1200, 2000];
 
-/** Colon and comma of a field in JSON, in bytes. */
-const SEPARATOR_BYTES = 2;
-
 /** A worker gets no filler once a tail exceeds its target for this long, in ms. */
 const EXCLUSION_DELAY_MS = 1000;
 /** Cost above every limit except the infinite one of idle jobs. */
@@ -203,14 +200,10 @@
     const { periodMs: loadPeriodMs } = this.#periodFinder;
     let left = maxBytes - jsonBytes({ pressures, loadPeriodMs });
     for (const [image, known] of [...this.#images].reverse()) {
-      left -= jsonBytes(image) + SEPARATOR_BYTES;
-      const learnt = known.export(left);
-      if (learnt === undefined) {
-        left += jsonBytes(image) + SEPARATOR_BYTES;
-        continue;
-      }
-      left -= jsonBytes(learnt);
+      const learnt = known.export(left - fieldBytes(image, ""));
+      if (learnt === undefined) continue;
       pressures[image] = learnt;
+      left -= fieldBytes(image, learnt);
     }
     return { pressures, loadPeriodMs };
   }
--- a/packages/jobs/src/serving_image.ts
+++ b/packages/jobs/src/serving_image.ts
@@ -1,4 +1,4 @@
-import { jsonBytes } from "./json_bytes";
+import { fieldBytes, jsonBytes } from "./json_bytes";
 import { type Feature, type Prior, RidgeRegression } from "./ridge_regression";
 import type { StepRun } from "./task";
 
@@ -168,7 +168,7 @@
     let bytes = jsonBytes(learnt);
     if (bytes > maxBytes) return undefined;
     for (const [filler, slope] of this.#listSlopes()) {
-      bytes += jsonBytes({ [filler]: slope });
+      bytes += fieldBytes(filler, slope);
       if (bytes > maxBytes) break;
       slopes[filler] = slope;
     }
--- a/packages/jobs/src/stored_runs.ts
+++ b/packages/jobs/src/stored_runs.ts
@@ -1,12 +1,13 @@
 import type { Write } from "@laburnumtrack/core/table";
 import { workedMsOf } from "./crash_losses";
 import type { JobBoard } from "./job_board";
-import { RUNS_PREFIX } from "./job_rows";
+import { MAX_ROW_BYTES, RUNS_PREFIX } from "./job_rows";
+import { BRACES_BYTES, fieldBytes, jsonBytes } from "./json_bytes";
 import type { RunsRow, StoredRun, WorkerRuns } from "./leadership_row";
 import { type Attempt, taskNameOf } from "./task";
 import type { WorkerRecord } from "./worker_record";
 
-/** Most runs in one row; the size of a row is limited. */
+/** Most runs in one row, besides the limit in bytes. */
 const MAX_RUNS_PER_ROW = 700;
 /** Most workers in one row. */
 const MAX_WORKERS_PER_ROW = 250;
@@ -24,21 +25,29 @@
   readonly storedEndOf: (worker: WorkerRecord) => number;
 }
 
-/** Lists what may run on workers that do not answer, by worker id. */
+/**
+ * Lists what may run on workers that do not answer, by worker id, in at most
+ * `maxBytes` of JSON.
+ */
 export function listSilentRuns(
   workers: Iterable<WorkerRecord>,
-  ends: StoredEnds,
+  { maxBytes, ...ends }: StoredEnds & { maxBytes: number },
 ): Record<string, WorkerRuns> {
   const entries: [string, WorkerRuns][] = [];
+  let bytes = BRACES_BYTES;
   let left = MAX_SILENT_RUNS;
   let places = MAX_SILENT_WORKERS;
   for (const worker of workers) {
     const { isSilent, attempts } = worker;
     if (!isSilent || places === 0 || attempts.size > left) continue;
     if (!isComplete(worker, ends)) continue;
+    const runs = describeRuns(worker);
+    const size = fieldBytes(worker.id, runs);
+    if (bytes + size > maxBytes) continue;
+    bytes += size;
     left -= attempts.size;
     places -= 1;
-    entries.push([worker.id, describeRuns(worker)]);
+    entries.push([worker.id, runs]);
   }
   return Object.fromEntries(entries);
 }
@@ -51,20 +60,28 @@
   workers: Iterable<WorkerRecord>,
   { epoch, nowMs, ...ends }: StoredEnds & { epoch: number; nowMs: number },
 ): Write[] {
+  const rowBytes = jsonBytes({ epoch, workers: {} });
   const pages: [string, WorkerRuns][][] = [[]];
+  let bytes = rowBytes;
   let runs = 0;
   for (const worker of workers) {
     if (!isComplete(worker, ends)) continue;
     const leaseLeftMs = Math.max(0, Math.ceil(worker.leaseExpiryMs - nowMs));
     const entry = { ...describeRuns(worker), leaseLeftMs };
+    const size = fieldBytes(worker.id, entry);
+    // Without its runs, the next leader waits until it answers.
+    if (rowBytes + size > MAX_ROW_BYTES) continue;
     const page = pages.at(-1) ?? [];
     const isFull =
+      bytes + size > MAX_ROW_BYTES ||
       page.length >= MAX_WORKERS_PER_ROW ||
       (page.length > 0 && runs + entry.runs.length > MAX_RUNS_PER_ROW);
     if (isFull) {
       pages.push([[worker.id, entry]]);
+      bytes = rowBytes;
       runs = 0;
     } else page.push([worker.id, entry]);
+    bytes += size;
     runs += entry.runs.length;
   }
   return pages.map((page, index) => {
--- a/packages/jobs/src/stored_runs_test.ts
+++ b/packages/jobs/src/stored_runs_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { JobBoard } from "./job_board";
-import { readRuns } from "./job_rows";
+import { MAX_ROW_BYTES, readRuns } from "./job_rows";
+import { jsonBytes } from "./json_bytes";
 import { adoptRuns, createRunRows, listSilentRuns } from "./stored_runs";
 import { RunEnd } from "./task_worker";
 import { createJob, createStep, createWorkerInfo } from "./test_samples";
@@ -70,7 +71,10 @@
     const stored = rows.map((row) => readRuns({ value: row.value ?? "" }));
     const ids = stored.flatMap((row) => Object.keys(row.unwrap().workers));
     assert.deepEqual(ids, ["w1"]);
-    const silent = listSilentRuns(board.workers.values(), ALL_STORED);
+    const silent = listSilentRuns(board.workers.values(), {
+      ...ALL_STORED,
+      maxBytes: MAX_ROW_BYTES,
+    });
     assert.deepEqual(Object.keys(silent), ["w1"]);
   });
 }
@@ -149,7 +153,8 @@
   worker.lastEndNumber = 3;
   const list = (storedEnd: number) => {
     const storedEndOf = () => storedEnd;
-    return Object.keys(listSilentRuns(board.workers.values(), { storedEndOf }));
+    const ends = { storedEndOf, maxBytes: MAX_ROW_BYTES };
+    return Object.keys(listSilentRuns(board.workers.values(), ends));
   };
   assert.deepEqual(list(2), []);
   assert.deepEqual(list(3), ["w0"]);
@@ -183,11 +188,72 @@
   assert.ok([...other.board.workers.values()].every((one) => one.areRunsKnown));
 });
 
+const LONG_ID_CASES: readonly {
+  readonly name: string;
+  readonly workers: number;
+  readonly idLength: number;
+  readonly runsEach: number;
+  /** Number of workers whose runs are stored at a release. */
+  readonly stored: number;
+}[] = [
+  { name: "long ids", workers: 300, idLength: 190, runsEach: 1, stored: 300 },
+  {
+    name: "ids of more than one byte for each character",
+    workers: 300,
+    idLength: 66,
+    runsEach: 2,
+    stored: 300,
+  },
+  {
+    name: "more runs than fit into a row",
+    workers: 2,
+    idLength: 20,
+    runsEach: 2500,
+    stored: 0,
+  },
+];
+
+for (const each of LONG_ID_CASES) {
+  const { name, workers: count, idLength, runsEach, stored } = each;
+  // Guards against rows that the table rejects, although they have few entries.
+  test(`stored runs: rows are limited in bytes with ${name}`, () => {
+    const listener = { onChanged() {}, onStop() {}, onEnd() {} };
+    const board = new JobBoard(listener, { runFloor: 0, allJobsKnownMs: 0 });
+    const steps = [createStep({ count: count * runsEach })];
+    const job = createJob("0123456789abcdef", steps);
+    const record = board.addJob(job, 1, { nowMs: 0, wallMs: 0 });
+    const tasks = record.occurrences[0]?.[0]?.tasks ?? [];
+    for (let index = 0; index < count; index += 1) {
+      const id = `w${index}`.padEnd(idLength, "…");
+      const worker = board.addWorker(createWorkerInfo(id));
+      Object.assign(worker, { hasReported: true, isSilent: true });
+      for (const task of tasks.splice(0, runsEach)) {
+        board.onSent(task, 1_000_000, worker, 0);
+      }
+    }
+    const workers = [...board.workers.values()];
+    const rows = createRunRows(workers, { epoch: 1, nowMs: 0, ...ALL_STORED });
+    let found = 0;
+    for (const { value } of rows) {
+      assert.ok(Buffer.byteLength(value ?? "") <= MAX_ROW_BYTES);
+      const row = readRuns({ value: value ?? "" }).unwrap();
+      found += Object.keys(row.workers).length;
+    }
+    assert.equal(found, stored);
+    const maxBytes = 10_000;
+    const silent = listSilentRuns(workers, { ...ALL_STORED, maxBytes });
+    assert.ok(jsonBytes(silent) <= maxBytes);
+  });
+}
+
 // Guards against a leadership row that the table rejects because it is too large.
 test("stored runs: the leadership row lists a limited number of workers", () => {
   const { board } = createBoard(710);
   for (const worker of board.workers.values()) worker.isSilent = true;
-  const silent = listSilentRuns(board.workers.values(), ALL_STORED);
+  const silent = listSilentRuns(board.workers.values(), {
+    ...ALL_STORED,
+    maxBytes: MAX_ROW_BYTES,
+  });
   assert.equal(Object.keys(silent).length, 200);
 });
 
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -5,10 +5,12 @@
 import {
   LEADER_KEY,
   LEARNT_KEY,
+  MAX_ROW_BYTES,
   ROSTER_KEY,
   readLeadership,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
+import { jsonBytes } from "@laburnumtrack/jobs/json_bytes";
 import type { Leadership } from "@laburnumtrack/jobs/leadership_row";
 import {
   createRunRows,
@@ -239,18 +241,7 @@
         : worker.storedEndNumber;
     const ends = isWhole ? this.#snapshotEnds(storedEndOf) : [];
     this.#sequence += 1;
-    const row: Leadership = {
-      ...this.#held.row,
-      sequence: this.#sequence,
-      isReleased,
-      successor,
-      formerRightMs: this.#options.formerLeases.rightMs,
-      leaseMs: this.#options.formerLeases.longestMs,
-      ...this.#describeSilent(storedEndOf),
-      ...this.describePending(),
-      // The load that a former leader saw is outdated.
-      load: this.#isStateLoaded ? this.#options.load?.() : undefined,
-    };
+    const row = this.#createRow({ isReleased, successor }, storedEndOf);
     const finals = batch.records.filter(({ phase }) => isFinal(phase));
     const workers = this.#isStateLoaded ? [...this.#options.workers()] : [];
     const rostered = updateRostered(workers);
@@ -320,6 +311,35 @@
     return true;
   }
 
+  #createRow(
+    { isReleased, successor }: CommitOptions,
+    storedEndOf: StoredEnds["storedEndOf"],
+  ): Leadership {
+    const { formerLeases, held, load, workers } = this.#options;
+    const row: Leadership = {
+      ...this.#held.row,
+      sequence: this.#sequence,
+      isReleased,
+      successor,
+      formerRightMs: formerLeases.rightMs,
+      leaseMs: formerLeases.longestMs,
+      silent: this.#isStateLoaded
+        ? this.#listSilent()
+        : formerLeases.listSilent(),
+      silentRuns: {},
+      ...this.describePending(),
+      // The load that a former leader saw is outdated.
+      load: this.#isStateLoaded ? load?.() : undefined,
+    };
+    // Until the workers are read, the former leader's word is kept.
+    if (!this.#isStateLoaded) {
+      return { ...row, silentRuns: held.row.silentRuns ?? {} };
+    }
+    const maxBytes = MAX_ROW_BYTES - jsonBytes(row);
+    const silentRuns = listSilentRuns(workers(), { storedEndOf, maxBytes });
+    return { ...row, silentRuns };
+  }
+
   /** Groups of rows that a commit contains besides states of jobs. */
   #createGroups(
     tried: RowGroup | undefined,
@@ -355,21 +375,6 @@
     return history?.listWrites(Math.min(room, MAX_MOVES_PER_COMMIT)) ?? [];
   }
 
-  /** What the next leader has to know of workers that do not answer. */
-  #describeSilent(
-    storedEndOf: StoredEnds["storedEndOf"],
-  ): Pick<Leadership, "silent" | "silentRuns"> {
-    const { formerLeases, held, workers } = this.#options;
-    // Until the workers are read, the former leader's word is kept.
-    if (!this.#isStateLoaded) {
-      const { silentRuns = {} } = held.row;
-      return { silent: formerLeases.listSilent(), silentRuns };
-    }
-    const silent = this.#listSilent();
-    const silentRuns = listSilentRuns(workers(), { storedEndOf });
-    return { silent, silentRuns };
-  }
-
   /**
    * Remaining lease of each silent worker in ms. Listed workers get no lease
    * until a commit has removed them from the list.
