fix(leader): a roster that does not fit into a row is stored in several

A worker gets no lease until the stored roster lists it, so with a roster that the table rejects no new worker could be used.

Cause: the roster was one row with an id and an address for each worker.

Evidence: in the former form, 3,000 workers with ids of 20 characters take 121,692 bytes and 500 with ids of 190 take 105,292; the table takes 65,536 (705 workers of the first kind take 28,587).

Change: such a roster stands in further rows of at most 48,000 bytes, written in one commit; the first row has their number. If one of them is missing, the roster counts as unreadable, and jobs of before wait until all leases have expired. An earlier release finds no roster in the first row and does the same. A roster that fits has the form that it had.

--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -179,7 +179,7 @@
 /** Addresses of the workers that may hold a lease, by worker id. */
 export type Roster = Readonly<Record<string, string>>;
 
-/** Parses the roster. Fault: `Malformed`. */
+/** Parses a row of the roster. Fault: `Malformed`. */
 export function readRoster(row: Pick<Row, "value">): Result<Roster, Fault> {
   const shape = { roster: isRecordOf(isText) };
   return parse<{ roster: Roster }>(row.value, shape).map(
@@ -187,6 +187,12 @@
   );
 }
 
+/** Number of further rows of a roster; undefined if the first one has it all. */
+export function readRosterParts(row: Pick<Row, "value">): number | undefined {
+  const read = parse<{ parts: number }>(row.value, { parts: isNumber });
+  return read.ok ? read.val.parts : undefined;
+}
+
 /** Parses a row with the runs of a released leadership. Fault: `Malformed`. */
 export function readRuns(row: Pick<Row, "value">): Result<RunsRow, Fault> {
   return parse<RunsRow>(row.value, {
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -6,7 +6,6 @@
   LEADER_KEY,
   LEARNT_KEY,
   MAX_ROW_BYTES,
-  ROSTER_KEY,
   readLeadership,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
@@ -30,7 +29,7 @@
   StateBatches,
 } from "./state_batches";
 import {
-  encodeRoster,
+  createRosterRows,
   isRosterOf,
   rosterOf,
   type StoredRoster,
@@ -360,7 +359,7 @@
     add(RowGroup.Roster, () =>
       isRosterOf(this.#storedRoster, rostered)
         ? []
-        : [{ key: ROSTER_KEY, value: encodeRoster(rosterOf(rostered)) }],
+        : createRosterRows(rosterOf(rostered)),
     );
     // There is nothing left of the group that was to be tried.
     if (tried !== undefined && groups.size === 0)
--- a/packages/leader/src/worker_group.ts
+++ b/packages/leader/src/worker_group.ts
@@ -3,14 +3,7 @@
 import { NO_RESOURCES } from "@laburnumtrack/core/resources";
 import type { Row } from "@laburnumtrack/core/table";
 import type { JobBoard, StopRequest } from "@laburnumtrack/jobs/job_board";
-import {
-  ROSTER_KEY,
-  type Roster,
-  RowPrefix,
-  RUNS_PREFIX,
-  readRoster,
-  readRuns,
-} from "@laburnumtrack/jobs/job_rows";
+import { RowPrefix, RUNS_PREFIX, readRuns } from "@laburnumtrack/jobs/job_rows";
 import type {
   Leadership,
   WorkerRuns,
@@ -23,8 +16,8 @@
 import type { WorkerRegistry } from "@laburnumtrack/jobs/worker_registry";
 import type { Journal } from "@laburnumtrack/process/journal";
 import { RowFollower } from "@laburnumtrack/process/row_follower";
-import { Ok } from "ts-results";
 import type { BackgroundTasks } from "./background_tasks";
+import { readRosterRows } from "./stored_roster";
 import { WorkerLink, type WorkerLinkOptions } from "./worker_link";
 
 /** Options of a worker group. */
@@ -118,7 +111,7 @@
     // Outdated rows may lack workers to which leases were granted since.
     if (read.err || read.val.revision < minRevision) return false;
     const { rows } = read.val;
-    this.#applyRoster(rows.find(({ key }) => key === ROSTER_KEY));
+    this.#applyRoster(rows);
     const stored = this.#readFormerRuns(rows);
     for (const [id, { leaseLeftMs }] of stored) {
       const worker = board.workers.get(id);
@@ -154,9 +147,9 @@
     return stored;
   }
 
-  #applyRoster(row: Row | undefined): void {
+  #applyRoster(rows: readonly Row[]): void {
     const { board, journal } = this.#options;
-    const roster = row === undefined ? Ok<Roster>({}) : readRoster(row);
+    const roster = readRosterRows(rows);
     if (roster.err) {
       const cause = roster.val.message;
       journal.error(
