fix(leader): moves of finished jobs stay within the rows of a commit

A commit of more than 100 entries is rejected as a whole.

Cause: the room of a commit was counted in jobs of two rows each. A job whose state stands in 13 further rows took 15, also if there was room for two; with 88 rows of states in the commit, that makes 103 and the leadership.

Evidence: "job history: a state in many rows moves only with a commit that has room" failed on the commit before, where 21 rows were listed whatever the room.

Change: moves are listed within a number of rows; a job that does not fit waits for a commit that has room. A commit that releases the leadership moves none: the rows with the runs on workers are added to it.

--- a/packages/leader/src/job_history.ts
+++ b/packages/leader/src/job_history.ts
@@ -92,6 +92,8 @@
  * share the leader's commits.
  */
 const MOVE_DELAY_MS = 1000;
+/** Rows that a commit writes to move a state without further rows. */
+const ROWS_PER_MOVE = 2;
 /** Most finished jobs whose rows one commit moves or removes. */
 export const MAX_MOVES_PER_COMMIT = 20;
 
@@ -226,13 +228,13 @@
 
   /**
    * Writes that are due and that the leader's next commit should contain, for at
-   * most that many jobs.
+   * most that many jobs and rows.
    */
-  listWrites(maxJobs: number): Write[] {
+  listWrites(maxJobs: number, maxRows = Number.POSITIVE_INFINITY): Write[] {
     const writes: Write[] = [];
     let count = 0;
     for (const id of this.#expired) {
-      if (count >= maxJobs) return writes;
+      if (count >= maxJobs || writes.length >= maxRows) return writes;
       if (this.#jobs.get(id)?.place !== StatePlace.Ended) continue;
       writes.push({ key: endedKey(id), value: null });
       count += 1;
@@ -241,6 +243,7 @@
       if (count >= maxJobs) return writes;
       const job = this.#jobs.get(id);
       if (job === undefined || !this.#isMoveDue(job)) continue;
+      if (writes.length + ROWS_PER_MOVE + job.parts > maxRows) continue;
       const { phase = JobPhase.Cancelled, finishedMs = 0, isRowGone } = job;
       const value = encodeEndedJob({ phase, sinceMs: finishedMs });
       writes.push(
--- a/packages/leader/src/job_history_test.ts
+++ b/packages/leader/src/job_history_test.ts
@@ -124,6 +124,22 @@
   await running;
 });
 
+// Guards against a commit of more rows than the table accepts.
+test("job history: a state in many rows moves only with a commit that has room", async () => {
+  const clock = new VirtualClock();
+  const history = createHistory(clock, new FeedTableStandin(clock));
+  for (const [index, parts] of [13, 0, 0, 0].entries()) {
+    const final = { phase: JobPhase.Completed, sinceMs: 0, revision: 1, parts };
+    history.onFinalState(idOf(index), final);
+    history.onRowClosed(idOf(index), { revision: 1 });
+  }
+  await clock.run(clock.nowMs() + 2000);
+  const listed = [5, 14, 15, 90].map(
+    (rows) => history.listWrites(MAX_MOVES_PER_COMMIT, rows).length,
+  );
+  assert.deepEqual(listed, [4, 6, 15, 21]);
+});
+
 // Guards against removing the state of a job that finishes while all rows are
 // read again: its row is open, and the next leader would run the job again.
 test("job history: a job that finishes while the rows are read keeps its state", async () => {
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -100,8 +100,6 @@
 const RETRY_PAUSE_MS = 100;
 /** Interval between two writes of the pressure model, in ms. */
 const MODEL_WRITE_INTERVAL_MS = 2000;
-/** Rows that a commit writes to move the state of a finished job. */
-const WRITES_PER_MOVE = 2;
 /** Most jobs that a log line lists. */
 const MAX_LOGGED_JOBS = 5;
 /** Most rows of a rejected commit that a log line lists. */
@@ -352,7 +350,8 @@
       const writes = isWanted ? create() : [];
       if (writes.length > 0) groups.set(group, writes);
     };
-    add(RowGroup.History, () => this.#listHistoryWrites(used));
+    // The rows with the runs take the room of the moves.
+    if (!isReleased) add(RowGroup.History, () => this.#listHistoryWrites(used));
     const isForced = isReleased || tried === RowGroup.Model;
     add(RowGroup.Model, () => this.#createModelWrite(sentMs, isForced));
     add(RowGroup.Runs, () => runs?.() ?? []);
@@ -369,9 +368,9 @@
 
   /** Writes about finished jobs for which a commit of `used` rows has room. */
   #listHistoryWrites(used: number): readonly Write[] {
-    const room = Math.floor((MAX_ROWS_PER_COMMIT - used) / WRITES_PER_MOVE);
     const { history } = this.#options;
-    return history?.listWrites(Math.min(room, MAX_MOVES_PER_COMMIT)) ?? [];
+    const room = MAX_ROWS_PER_COMMIT - used;
+    return history?.listWrites(MAX_MOVES_PER_COMMIT, room) ?? [];
   }
 
   /**
