fix(jobs): images that are not used any more are forgotten

Each release of an image has a new name, so the model grew for as long as a leader led, and with each leader that imported it.

Cause: neither a serving image nor the filler images beside it were ever removed. The regression of a serving image takes time by the third power of its filler images, each half second.

Change: a leader keeps the 1,000 serving images measured last, and for each the 64 filler images seen last.

--- a/packages/jobs/src/interference_model.ts
+++ b/packages/jobs/src/interference_model.ts
@@ -32,6 +32,9 @@
 /** Times ahead at which the cost of a further filler is evaluated, in ms. */
 const HORIZONS_MS: readonly number[] = [400, 1200, 2000];
 
+/** Most serving images; the one measured longest ago is forgotten first. */
+const MAX_IMAGES = 1000;
+
 /** A worker gets no filler once a tail exceeds its target for this long, in ms. */
 const EXCLUSION_DELAY_MS = 1000;
 /** Cost above every limit except the infinite one of idle jobs. */
@@ -326,6 +329,10 @@
     }
     const added = new ServingImage();
     this.#images.set(image, added);
+    const [oldest] = this.#images.keys();
+    if (this.#images.size > MAX_IMAGES && oldest !== undefined) {
+      this.#images.delete(oldest);
+    }
     this.#applyPeriod();
     return added;
   }
--- a/packages/jobs/src/interference_test.ts
+++ b/packages/jobs/src/interference_test.ts
@@ -155,6 +155,30 @@
   });
 }
 
+// Guards against a leader whose memory and time for the model grow with each
+// release of the images for as long as it leads.
+test("interference: images that are not used any more are forgotten", () => {
+  const model = new InterferenceModel();
+  for (let release = 0; release < 40; release += 1) {
+    const pressures: Record<string, LearntInterference> = {};
+    for (let index = 0; index < 50; index += 1) {
+      const slopes = { [`filler-${release}-${index}`]: 2 };
+      const learnt = { bestTailMs: IDLE_TAIL_MS, base: 0, slopes };
+      pressures[`serving-${release}-${index}`] = learnt;
+      // An image that stays beside fillers that change.
+      model.import({ pressures: { serving: learnt } });
+    }
+    model.import({ pressures });
+  }
+  const { pressures } = model.export(Number.POSITIVE_INFINITY);
+  assert.equal(Object.keys(pressures).length, 1000);
+  assert.ok(Object.hasOwn(pressures, "serving-39-0"));
+  assert.ok(!Object.hasOwn(pressures, "serving-0-0"));
+  const { slopes = {} } = pressures.serving ?? {};
+  assert.equal(Object.keys(slopes).length, 64);
+  assert.ok(Object.hasOwn(slopes, "filler-39-49"));
+});
+
 const MALFORMED: readonly {
   readonly name: string;
   readonly stored: unknown;
--- a/packages/jobs/src/serving_image.ts
+++ b/packages/jobs/src/serving_image.ts
@@ -21,6 +21,9 @@
 /** Coefficients of a step without samples for this time are removed, in ms. */
 const STEP_LIFETIME_MS = 30_000;
 
+/** Most filler images of a regression, whose cost grows with their third power. */
+const MAX_FILLER_IMAGES = 64;
+
 /** Prefixes of the features of a regression. */
 enum FeaturePrefix {
   /** CPU share of fillers of an image. */
@@ -86,6 +89,8 @@
   /** Lowest tail latency seen, in ms. */
   bestTailMs = Number.POSITIVE_INFINITY;
   readonly #regression = new RidgeRegression(priorOf);
+  /** Filler images in the regression; the one seen last comes last. */
+  readonly #fillers = new Set<string>();
   /** Steps with coefficients of their own. */
   readonly #steps = new Map<StepRun, StepLoad>();
   /** Results of {@linkcode interferenceOf} since the last solution. */
@@ -113,6 +118,7 @@
   /** Adds the change of a task's utilization and of the shares beside it. */
   addChange({ utilization, shares, tailMs }: UtilizationSample): void {
     const weight = this.#precisionOf(tailMs) * CHANGE_WEIGHT;
+    this.#noteFillers(shares.map(({ name }) => name));
     this.#regression.add(shares.map(toFillerFeature), utilization, weight);
   }
 
@@ -129,6 +135,7 @@
       ...this.#loadFeatures(step.key, nowMs),
       ...shares.map(toFillerFeature),
     ];
+    this.#noteFillers(shares.map(({ name }) => name));
     this.#regression.add(features, utilization, this.#precisionOf(tailMs));
   }
 
@@ -192,11 +199,29 @@
     this.bestTailMs = Math.min(this.bestTailMs, bestTailMs);
     const usable = Object.entries(slopes ?? {})
       .filter(([, slope]) => Number.isFinite(slope))
-      .map(([filler, slope]) => [FeaturePrefix.Filler + filler, slope]);
-    this.#regression.seed(Object.fromEntries(usable));
+      .slice(0, MAX_FILLER_IMAGES);
+    this.#noteFillers(usable.map(([filler]) => filler));
+    const seeds = usable.map(([filler, slope]) => [
+      FeaturePrefix.Filler + filler,
+      slope,
+    ]);
+    this.#regression.seed(Object.fromEntries(seeds));
     this.#solve();
   }
 
+  /** Forgets the filler images seen longest ago if there are too many. */
+  #noteFillers(images: readonly string[]): void {
+    for (const image of images) {
+      this.#fillers.delete(image);
+      this.#fillers.add(image);
+    }
+    for (const image of this.#fillers) {
+      if (this.#fillers.size <= MAX_FILLER_IMAGES) return;
+      this.#fillers.delete(image);
+      this.#regression.remove(FeaturePrefix.Filler + image);
+    }
+  }
+
   #solve(): void {
     this.#regression.solve();
     this.#interference.clear();
