feat(leader): the log of delayed starts has the reasons why workers are left out

Of the ten reasons for which a worker gets no task it names none, so three hypotheses were open: the workers are still set aside, their probe has no end, or their machines count as faulty.

Change: the reasons are an enum, and the lines of delayed starts have the number of workers for each.

--- a/packages/leader/src/cold_runs_test.ts
+++ b/packages/leader/src/cold_runs_test.ts
@@ -51,7 +51,7 @@
         worker,
       );
     }
-    assert.equal(monitor.hasProbeRoom(worker, 0), isUsed);
+    assert.equal(monitor.exclusionOf(worker, 0) === undefined, isUsed);
   });
 }
 
--- a/packages/leader/src/run_monitor.ts
+++ b/packages/leader/src/run_monitor.ts
@@ -18,6 +18,7 @@
 import { WorkerHealth } from "@laburnumtrack/policy/worker_health";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
+import { WorkerExclusion } from "./worker_exclusion";
 
 /** Options of a run monitor. */
 export interface RunMonitorOptions {
@@ -68,16 +69,24 @@
   }
 
   /**
-   * Whether the failures on a worker, and the crashes of its machine, allow
-   * another task there. A worker on which runs keep failing is set aside, and
-   * then probed with a single task.
+   * Why the failures on a worker, or the crashes of its machine, allow no other
+   * task there; undefined if they do. A worker on which runs keep failing is set
+   * aside, and then probed with a single task.
    */
-  hasProbeRoom(worker: WorkerRecord, nowMs: number): boolean {
+  exclusionOf(
+    worker: WorkerRecord,
+    nowMs: number,
+  ): WorkerExclusion | undefined {
     const { machines } = this.#options.board;
-    if (machines.isQuarantined(worker.info.address, nowMs)) return false;
+    if (machines.isQuarantined(worker.info.address, nowMs)) {
+      return WorkerExclusion.FaultyMachine;
+    }
     const room = this.#health.taskAllowanceOn(worker.id, nowMs);
-    if (room === Number.POSITIVE_INFINITY) return true;
-    return room > 0 && worker.attempts.size <= worker.serving.size;
+    if (room === Number.POSITIVE_INFINITY) return undefined;
+    if (room === 0) return WorkerExclusion.SetAside;
+    return worker.attempts.size <= worker.serving.size
+      ? undefined
+      : WorkerExclusion.Probed;
   }
 
   /** Evaluates the report that a worker has just sent. */
--- a/packages/leader/src/start_delay_log.ts
+++ b/packages/leader/src/start_delay_log.ts
@@ -20,6 +20,8 @@
   readonly metrics: Metrics;
   /** State of the planner, on which the reasons depend. */
   readonly planning: () => PlanningState;
+  /** Number of workers that get no new task, by the reason. */
+  readonly exclusions: () => Readonly<Record<string, number>>;
 }
 
 /** Interval between two looks at the waiting tasks, in ms. */
@@ -79,7 +81,11 @@
     }
     this.#recordEnded(sinceMs, nowMs);
     this.#sinceMs = sinceMs;
-    for (const [reason, delays] of byReason) this.#logReason(reason, delays);
+    if (byReason.size === 0) return;
+    const excluded = this.#options.exclusions();
+    for (const [reason, delays] of byReason) {
+      this.#logReason(reason, delays, excluded);
+    }
   }
 
   #recordEnded(waiting: ReadonlyMap<Task, number>, nowMs: number): void {
@@ -89,11 +95,16 @@
     }
   }
 
-  #logReason(reason: DelayReason, delays: LongDelay[]): void {
+  #logReason(
+    reason: DelayReason,
+    delays: LongDelay[],
+    excludedWorkers: Readonly<Record<string, number>>,
+  ): void {
     delays.sort((a, b) => b.delayedMs - a.delayedMs);
     this.#options.journal.info("Tasks are not started yet.", {
       reason,
       count: delays.length,
+      excludedWorkers,
       longest: delays.slice(0, MAX_NAMED).map(({ delay, delayedMs }) => {
         const { stepRun, index } = delay.task;
         const { record, occurrence, number } = stepRun;
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -36,6 +36,7 @@
 import type { Succession } from "./succession";
 import { SuspectStarts } from "./suspect_starts";
 import { WorkerClearance } from "./worker_clearance";
+import { WorkerExclusion } from "./worker_exclusion";
 import { WorkerGroup } from "./worker_group";
 import { grantedLeaseMs, latestExpiryMs } from "./worker_link";
 
@@ -252,6 +253,7 @@
       ...options,
       board: this.#board,
       planning: () => this.#planningState(),
+      exclusions: () => this.#countExclusions(),
     });
     this.#evacuationLog = new EvacuationLog({
       ...options,
@@ -601,7 +603,7 @@
     return {
       nowMs,
       wallMs: clock.wallMs(),
-      isUsable: (worker) => this.#isUsable(worker, nowMs),
+      isUsable: (worker) => this.#exclusionOf(worker, nowMs) === undefined,
       areRunsKnown: ({ revision }) =>
         this.#isSettled || revision > this.#findNewJobsAbove(nowMs),
       areTaskRunsKnown: (task) => this.#areRunsKnownAt(task.placement, nowMs),
@@ -628,18 +630,36 @@
     this.#planSignal.set();
   }
 
-  #isUsable(worker: WorkerRecord, nowMs: number): boolean {
-    return (
-      worker.isRegistered &&
-      !worker.isReplaced &&
-      worker.hasReported &&
-      worker.canGrantLease &&
-      !worker.info.isDraining &&
-      this.#guard.mayStartOn(worker) &&
-      this.#runMonitor.hasProbeRoom(worker, nowMs) &&
-      worker.backoffUntilMs <= nowMs &&
-      nowMs - worker.lastReportMs < MAX_REPORT_AGE_MS
-    );
+  /** Why a worker gets no new task; undefined if it does. */
+  #exclusionOf(
+    worker: WorkerRecord,
+    nowMs: number,
+  ): WorkerExclusion | undefined {
+    if (!worker.isRegistered) return WorkerExclusion.Unregistered;
+    if (worker.isReplaced) return WorkerExclusion.Replaced;
+    if (!worker.hasReported) return WorkerExclusion.NoReport;
+    if (!worker.canGrantLease) return WorkerExclusion.NoLease;
+    if (worker.info.isDraining) return WorkerExclusion.Draining;
+    if (!this.#guard.mayStartOn(worker)) return WorkerExclusion.Evacuated;
+    const byFailures = this.#runMonitor.exclusionOf(worker, nowMs);
+    if (byFailures !== undefined) return byFailures;
+    if (worker.backoffUntilMs > nowMs) return WorkerExclusion.Backoff;
+    if (nowMs - worker.lastReportMs >= MAX_REPORT_AGE_MS) {
+      return WorkerExclusion.NoReport;
+    }
+    return undefined;
+  }
+
+  /** Number of workers that get no new task, by the reason. */
+  #countExclusions(): Partial<Record<WorkerExclusion, number>> {
+    const nowMs = this.#options.clock.nowMs();
+    const counts: Partial<Record<WorkerExclusion, number>> = {};
+    for (const worker of this.#board.workers.values()) {
+      const exclusion = this.#exclusionOf(worker, nowMs);
+      if (exclusion === undefined) continue;
+      counts[exclusion] = (counts[exclusion] ?? 0) + 1;
+    }
+    return counts;
   }
 
   /**
