fix(leader): only runs that probe a worker count as its probe

Cause: a worker on which runs kept failing is set aside and then gets one task as a probe. Whether a probe is under way was told by whether anything but serving tasks is at work there. A long-running task without a target is for as long as it lasts, so the probe never began, and only a task that is done ends the suspicion.

Change: a probe is a run that was started after the worker was set aside. One at a time is started, also within a planning round, which gave a worker as many as it had room for; a gang counts as one. A run that has not failed for 1 s makes room for the next probe, and a long-running one that is at work by then ends the suspicion, as it never is done. Both changes of a worker's standing are logged, and how often workers are set aside is counted (workers_set_aside).

Why it works: whatever was at work before has no part in it, and each probe ends by its outcome, its stop or in 1 s.

--- a/packages/jobs/src/worker_fit.ts
+++ b/packages/jobs/src/worker_fit.ts
@@ -54,6 +54,7 @@
 ): number | undefined {
   const { step } = stepRun;
   if (!hasRoom(stepRun, worker, aid)) return undefined;
+  if (worker.isProbeOpen(nowMs, stepRun)) return undefined;
   if (worker.isAtColdLimit && !mayOverloadCold(stepRun, nowMs)) {
     return undefined;
   }
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -1,5 +1,5 @@
 import type { Resources } from "@laburnumtrack/core/resources";
-import type { Attempt, Task } from "./task";
+import type { Attempt, StepRun, Task } from "./task";
 import type { EndedRun, RegisteredWorker, RunningRun } from "./task_worker";
 
 /** A run that ended, and the job that its end concerns. */
@@ -13,6 +13,11 @@
  * lists 500 ends at a time, so those that follow would not be seen.
  */
 const MAX_UNSTORED_ENDS = 400;
+/**
+ * Time after which a run that has not failed on a probed worker makes room for
+ * another one, in ms.
+ */
+export const PROBE_MS = 1000;
 /** Average fraction of its reservation that a serving task leaves unused. */
 const UNUSED_FRACTION = 0.5;
 
@@ -95,6 +100,11 @@
   readonly fillers = new Set<Attempt>();
   /** Attempts of tasks of which runs were lost with their workers. */
   readonly suspects = new Set<Attempt>();
+  /**
+   * Monotonic ms from which it is probed, because runs kept failing there;
+   * undefined if it is not. Until then it is set aside.
+   */
+  probedFromMs: number | undefined;
   /** Monotonic ms until which no new task is placed on it. */
   backoffUntilMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms at which its fillers were last paused or moved. */
@@ -206,6 +216,25 @@
     return [...this.suspects].some(({ task }) => task.losses.length > 0);
   }
 
+  /**
+   * Whether it is probed and another task has to wait: one run at a time shows
+   * whether runs still fail there. The tasks of a gang probe it together.
+   */
+  isProbeOpen(nowMs: number, stepRun?: StepRun): boolean {
+    if (this.probedFromMs === undefined) return false;
+    return [...this.attempts].some(
+      (attempt) =>
+        this.isProbe(attempt) &&
+        nowMs - attempt.sentMs < PROBE_MS &&
+        !(attempt.task.stepRun === stepRun && stepRun.step.isGang),
+    );
+  }
+
+  /** Whether a run was started to probe the worker. */
+  isProbe({ sentMs }: Attempt): boolean {
+    return this.probedFromMs !== undefined && sentMs >= this.probedFromMs;
+  }
+
   /** Whether it gets no other task for now, as one that may crash it is alone. */
   get isDedicated(): boolean {
     if (this.suspects.size === 0) return false;
--- a/packages/leader/src/run_monitor.ts
+++ b/packages/leader/src/run_monitor.ts
@@ -12,9 +12,13 @@
   backOffStalledWorker,
   listStalled,
 } from "@laburnumtrack/jobs/stalled_runs";
-import type { Attempt, Task } from "@laburnumtrack/jobs/task";
+import {
+  type Attempt,
+  AttemptPhase,
+  type Task,
+} from "@laburnumtrack/jobs/task";
 import { type EndedRun, RunEnd } from "@laburnumtrack/jobs/task_worker";
-import type { WorkerRecord } from "@laburnumtrack/jobs/worker_record";
+import { PROBE_MS, type WorkerRecord } from "@laburnumtrack/jobs/worker_record";
 import { WorkerHealth } from "@laburnumtrack/policy/worker_health";
 import type { Journal } from "@laburnumtrack/process/journal";
 import type { Metrics } from "@laburnumtrack/process/metrics";
@@ -71,7 +75,7 @@
   /**
    * Why the failures on a worker, or the crashes of its machine, allow no other
    * task there; undefined if they do. A worker on which runs keep failing is set
-   * aside, and then probed with a single task.
+   * aside, and then probed with one task at a time.
    */
   exclusionOf(
     worker: WorkerRecord,
@@ -81,12 +85,10 @@
     if (machines.isQuarantined(worker.info.address, nowMs)) {
       return WorkerExclusion.FaultyMachine;
     }
-    const room = this.#health.taskAllowanceOn(worker.id, nowMs);
-    if (room === Number.POSITIVE_INFINITY) return undefined;
-    if (room === 0) return WorkerExclusion.SetAside;
-    return worker.attempts.size <= worker.serving.size
-      ? undefined
-      : WorkerExclusion.Probed;
+    const { probedFromMs } = worker;
+    if (probedFromMs === undefined) return undefined;
+    if (nowMs < probedFromMs) return WorkerExclusion.SetAside;
+    return worker.isProbeOpen(nowMs) ? WorkerExclusion.Probed : undefined;
   }
 
   /** Evaluates the report that a worker has just sent. */
@@ -95,6 +97,7 @@
     const nowMs = clock.nowMs();
     // What runs on a cold worker is slower than the model would expect.
     if (worker.coldness === 0) this.model.observe(worker, nowMs);
+    this.#checkLastingProbes(worker, nowMs);
     for (const order of planRelief(this.model, worker, { nowMs, restoreMs })) {
       this.#applyRelief(worker, order, nowMs);
     }
@@ -107,7 +110,7 @@
     const { record, number } = task.stepRun;
     metrics.count(`ends{end="${end}"}`);
     if (end === RunEnd.Done) {
-      if (worker.coldness === 0) this.#health.onDone(worker.id);
+      if (worker.coldness === 0) this.#onSound(worker);
       return;
     }
     journal.info("A run ended without completing its task.", {
@@ -125,19 +128,49 @@
   }
 
   #onFailed(worker: WorkerRecord, job: string): void {
-    const { clock, journal } = this.#options;
-    const wasToBlame = this.#health.isSuspect(worker.id);
-    this.#health.onFailed(worker.id, job, clock.nowMs());
-    if (wasToBlame || !this.#health.isSuspect(worker.id)) return;
+    const { clock, journal, metrics } = this.#options;
+    const nowMs = clock.nowMs();
+    this.#health.onFailed(worker.id, job, nowMs);
+    const quarantineEndMs = this.#health.quarantineEndMs(worker.id);
+    if (quarantineEndMs === worker.probedFromMs) return;
+    worker.probedFromMs = quarantineEndMs;
+    if (quarantineEndMs === undefined) return;
+    metrics.count("workers_set_aside");
     journal.warn(
       "Runs keep failing on a worker; it is set aside for a while.",
       {
         worker: worker.id,
         job,
+        setAsideMs: Math.round(quarantineEndMs - nowMs),
       },
     );
   }
 
+  /** Ends the suspicion of a worker on which a run did not fail. */
+  #onSound(worker: WorkerRecord): void {
+    this.#health.onDone(worker.id);
+    if (worker.probedFromMs === undefined) return;
+    worker.probedFromMs = undefined;
+    this.#options.journal.info(
+      "A run has not failed on a worker that was set aside; it takes tasks as before.",
+      { worker: worker.id },
+    );
+  }
+
+  /** A task that lasts never ends as done: being at work has to suffice. */
+  #checkLastingProbes(worker: WorkerRecord, nowMs: number): void {
+    if (worker.probedFromMs === undefined) return;
+    const isSound = [...worker.attempts].some(
+      (attempt) =>
+        worker.isProbe(attempt) &&
+        attempt.task.stepRun.step.isLongRunning &&
+        attempt.phase === AttemptPhase.Running &&
+        attempt.percent >= 100 &&
+        nowMs - attempt.sentMs >= PROBE_MS,
+    );
+    if (isSound) this.#onSound(worker);
+  }
+
   /**
    * Pauses, resumes or moves a filler for the sake of its worker's serving
    * tasks.
--- a/packages/policy/src/worker_health.ts
+++ b/packages/policy/src/worker_health.ts
@@ -74,6 +74,12 @@
     return record.quarantinedUntilMs > nowMs ? 0 : 1;
   }
 
+  /** Monotonic ms at which the last quarantine ends; undefined if there is none. */
+  quarantineEndMs(worker: string): number | undefined {
+    const record = this.#records.get(worker);
+    return record?.quarantineMs ? record.quarantinedUntilMs : undefined;
+  }
+
   /** Whether failures here count against the worker and not the job. */
   isSuspect(worker: string): boolean {
     return (this.#records.get(worker)?.quarantineMs ?? 0) > 0;
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -96,6 +96,8 @@
 
 /** Duration of a call, in ms. */
 const CALL_DURATION_MS = 2;
+/** Longest time that a run works on a worker on which all fail, in ms. */
+const FAIL_MS = 300;
 /** Time after which a call without an answer fails, in ms. */
 const TIMEOUT_MS = 600;
 /** Delay after which a late order is executed by default, in ms. */
@@ -126,6 +128,8 @@
   readonly delayed = new Set<string>();
   /** Delay after which orders to such workers take effect, in ms. */
   lateOrderDelayMs = LATE_ORDER_DELAY_MS;
+  /** Workers on which all runs that start fail. */
+  readonly failing = new Set<string>();
   /** Workers on which calls take effect, but whose answers are lost. */
   readonly answersLost = new Set<string>();
   /** Most ends in one report. */
@@ -339,7 +343,9 @@
   ): Promise<void> {
     const { workMs, failures } = work;
     const { startMs } = run.record;
-    const endMs = startMs + workMs - run.resumedMs;
+    const isDoomed = this.failing.has(worker.id);
+    const leftMs = workMs - run.resumedMs;
+    const endMs = startMs + (isDoomed ? Math.min(FAIL_MS, leftMs) : leftMs);
     const key = taskKey(run.name);
     const { index, step } = run.name;
     const { crashIndex = index, crashStep = step } = work;
@@ -365,7 +371,7 @@
     const earlierFailures = this.history.filter(
       ({ task, end }) => task === key && end === RunEnd.Failed,
     );
-    const shouldFail = earlierFailures.length < failures;
+    const shouldFail = isDoomed || earlierFailures.length < failures;
     this.#end(worker, run, shouldFail ? RunEnd.Failed : RunEnd.Done);
   }
 
