fix(leader): a worker's failures are forgotten when it starts again

A worker that restarts under its id gets no task for up to 24 s.

Cause: failures are kept by the worker's id, and nothing removed them but a run that is done.

Evidence: "probes: a worker takes tasks at once that restarts under its id" failed on: 0 starts in 3 s on the only worker.

Change: the failures of a worker are forgotten with the first report of another incarnation, and with that of a worker that joins under the id of one that left.

--- a/packages/faults/src/probe_cases_test.ts
+++ b/packages/faults/src/probe_cases_test.ts
@@ -108,6 +108,47 @@
   assert.equal(phases.filter((one) => one === JobPhase.Completed).length, jobs);
 });
 
+/** How another life of a worker begins. */
+const LIFE_CASES: readonly {
+  readonly name: string;
+  readonly restart: (world: EntryWorld) => Promise<void>;
+}[] = [
+  {
+    name: "restarts under its id",
+    restart: async ({ fleet }) => fleet.restart("w0"),
+  },
+  {
+    name: "leaves, and another one has its id later",
+    restart: async (world) => {
+      void world.removeWorker("w0");
+      await world.advance(8000);
+      world.fleet.unreachable.delete("w0");
+      void world.addWorker("w0");
+    },
+  },
+];
+
+for (const { name, restart } of LIFE_CASES) {
+  // Guards against a worker that is set aside for failures of its former life.
+  test(`probes: a worker takes tasks at once that ${name}`, async () => {
+    const world = new EntryWorld({ entries: 2, workers: 1 });
+    await world.advance(2000);
+    world.fleet.failing.add("w0");
+    // The worker is set aside for 3, 6 and 12 s in this time.
+    for (let number = 0; number < 52; number += 1) {
+      const id = `c${number.toString(16).padStart(15, "0")}`;
+      world.submitNow(id, `work=${WORK_MS}`, [{ count: 1 }]);
+      await world.advance(250);
+    }
+    world.fleet.failing.clear();
+    const startedBefore = world.fleet.history.length;
+    await restart(world);
+    await world.advance(MAX_IDLE_MS);
+    const started = world.fleet.history.length - startedBefore;
+    assert.ok(started > 10, `${started} starts`);
+  });
+}
+
 /** Lets one worker after the other fail all that it starts for a while. */
 async function failInTurn(world: EntryWorld): Promise<void> {
   let number = 0;
--- a/packages/leader/src/run_monitor.ts
+++ b/packages/leader/src/run_monitor.ts
@@ -49,6 +49,8 @@
   readonly model = new InterferenceModel();
   readonly #options: RunMonitorOptions;
   readonly #health = new WorkerHealth(SET_ASIDE_TIMES);
+  /** Unix ms of the start of each worker's incarnation, as last reported. */
+  readonly #bornMs = new WeakMap<WorkerRecord, number>();
 
   constructor(options: RunMonitorOptions) {
     this.#options = options;
@@ -95,6 +97,7 @@
   onReport(worker: WorkerRecord): void {
     const { clock, restoreMs } = this.#options;
     const nowMs = clock.nowMs();
+    this.#noteIncarnation(worker);
     // What runs on a cold worker is slower than the model would expect.
     if (worker.coldness === 0) this.model.observe(worker, nowMs);
     this.#checkLastingProbes(worker, nowMs);
@@ -108,6 +111,7 @@
   onEnd(task: Task, { end, run }: EndedRun, worker: WorkerRecord): void {
     const { metrics, journal } = this.#options;
     const { record, number } = task.stepRun;
+    this.#noteIncarnation(worker);
     metrics.count(`ends{end="${end}"}`);
     if (end === RunEnd.Done) {
       if (worker.coldness === 0) this.#onSound(worker);
@@ -127,6 +131,14 @@
     if (isToBlame) this.#onFailed(worker, record.job.id);
   }
 
+  /** Forgets the failures of a worker's former incarnation. */
+  #noteIncarnation(worker: WorkerRecord): void {
+    if (this.#bornMs.get(worker) === worker.bornMs) return;
+    this.#bornMs.set(worker, worker.bornMs);
+    this.#health.forget(worker.id);
+    worker.probedFromMs = undefined;
+  }
+
   #onFailed(worker: WorkerRecord, job: string): void {
     const { clock, journal, metrics } = this.#options;
     const nowMs = clock.nowMs();
