fix(leader): a run that is done ends the suspicion of a cold worker, too

A worker that turns cold while it is set aside is probed with one task at a time until it is warm.

Cause: failures on cold workers are not counted, as being slow explains them, and runs that are done were not counted there either, which nothing explains.

Evidence: "cold runs: a run that is done on a worker with coldness 0.5 ends its suspicion" failed on the commit before; with coldness 0 it passed.

--- a/packages/leader/src/run_monitor.ts
+++ b/packages/leader/src/run_monitor.ts
@@ -114,7 +114,7 @@
     this.#noteIncarnation(worker);
     metrics.count(`ends{end="${end}"}`);
     if (end === RunEnd.Done) {
-      if (worker.coldness === 0) this.#onSound(worker);
+      this.#onSound(worker);
       return;
     }
     journal.info("A run ended without completing its task.", {
