test(leader): mutations of the new mechanisms; a release stores the runs

Cause: three mutations named lines that are gone.

Change: the three name the lines that do the same now, and 14 are new. The creation of a commit's groups of rows takes the commit as a whole, without change of behaviour.

--- a/packages/faults/src/takeover_knowledge_test.ts
+++ b/packages/faults/src/takeover_knowledge_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { LEADER_KEY, RUNS_PREFIX } from "@laburnumtrack/jobs/job_rows";
+import {
+  LEADER_KEY,
+  RUNS_PREFIX,
+  readRuns,
+} from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { TableFault } from "@laburnumtrack/standins/feed_table_standin";
 import { type EntryPeer, EntryWorld } from "./entry_world";
@@ -120,6 +124,25 @@
   assert.deepEqual(findLongGaps(moved, world.clock.nowMs(), MAX_MOVE_MS), []);
 });
 
+// Guards against a release that does not tell the next leader which runs are
+// active: its jobs would wait for each worker that does not answer.
+test("takeover: a release stores the runs on all workers", async () => {
+  const world = new EntryWorld({ entries: 2, workers: 3 });
+  await world.advance(2000);
+  const step = { ...LONG_RUNNING, count: 3, perWorkerLimit: 1 };
+  await world.submit(JOB_ID, SPEC, [step]);
+  await world.advance(1000);
+  void world.leader?.stop();
+  await world.advance(200);
+  const reading = world.table.get([`${RUNS_PREFIX}0`]);
+  await world.advance(10);
+  const [row] = (await reading).unwrap();
+  assert.ok(row);
+  const { workers } = readRuns(row).unwrap();
+  const counts = Object.values(workers).map(({ runs }) => runs.length);
+  assert.deepEqual(counts, [1, 1, 1]);
+});
+
 // Guards against a second run while a worker that left the registry goes on.
 test("takeover: a worker without an entry is awaited after a lost leader", async () => {
   const world = new EntryWorld({ entries: 3, workers: 4 });
--- a/packages/leader/src/progress_store.ts
+++ b/packages/leader/src/progress_store.ts
@@ -77,16 +77,14 @@
 }
 
 /** What the groups of rows of a commit depend on. */
-interface GroupContents {
+interface CommitContents extends StoredEnds {
   /** Monotonic ms at which the commit is sent. */
   readonly sentMs: number;
+  readonly row: Leadership;
+  readonly batch: StateBatch;
+  readonly workers: readonly WorkerRecord[];
   /** Workers that the roster should list. */
   readonly rostered: readonly WorkerRecord[];
-  /** Number of rows with states in the commit. */
-  readonly used: number;
-  /** Creates the rows with the runs on workers; undefined if they are not due. */
-  readonly runs: (() => readonly Write[]) | undefined;
-  readonly isReleased: boolean;
 }
 
 /** Pause after a commit during which changes are batched, in ms. */
@@ -231,12 +229,11 @@
       tried === undefined
         ? this.#batches.take(sentMs)
         : this.#batches.takeNone();
-    const { isWhole } = batch;
     const storedEndOf = (worker: WorkerRecord) =>
-      isWhole
+      batch.isWhole
         ? worker.storableEndNumber(batch.setAside)
         : worker.storedEndNumber;
-    const ends = isWhole ? this.#snapshotEnds(storedEndOf) : [];
+    const ends = batch.isWhole ? this.#snapshotEnds(storedEndOf) : [];
     this.#sequence += 1;
     const row = this.#createRow({ isReleased, successor }, storedEndOf);
     const finals = batch.records.filter(({ phase }) => isFinal(phase));
@@ -244,18 +241,11 @@
     const rostered = updateRostered(workers);
     const groups = this.#createGroups(tried, {
       sentMs,
+      row,
+      batch,
+      workers,
       rostered,
-      used: batch.writes.length,
-      runs:
-        isReleased && isWhole
-          ? () =>
-              createRunRows(workers, {
-                epoch: row.epoch,
-                nowMs: sentMs,
-                storedEndOf,
-              })
-          : undefined,
-      isReleased,
+      storedEndOf,
     });
     const isRosterSent = groups.has(RowGroup.Roster);
     const sentRoster = isRosterSent ? rosterOf(rostered) : this.#storedRoster;
@@ -340,7 +330,7 @@
   /** Groups of rows that a commit contains besides states of jobs. */
   #createGroups(
     tried: RowGroup | undefined,
-    { sentMs, rostered, used, runs, isReleased }: GroupContents,
+    { sentMs, row, batch, workers, rostered, storedEndOf }: CommitContents,
   ): Map<RowGroup, readonly Write[]> {
     const groups = new Map<RowGroup, readonly Write[]>();
     if (!this.#isStateLoaded || this.#batches.isSearching) return groups;
@@ -350,11 +340,17 @@
       const writes = isWanted ? create() : [];
       if (writes.length > 0) groups.set(group, writes);
     };
-    // The rows with the runs take the room of the moves.
-    if (!isReleased) add(RowGroup.History, () => this.#listHistoryWrites(used));
+    const { epoch, isReleased } = row;
     const isForced = isReleased || tried === RowGroup.Model;
     add(RowGroup.Model, () => this.#createModelWrite(sentMs, isForced));
-    add(RowGroup.Runs, () => runs?.() ?? []);
+    if (!isReleased) {
+      const room = MAX_ROWS_PER_COMMIT - batch.writes.length;
+      add(RowGroup.History, () => this.#listHistoryWrites(room));
+    } else if (batch.isWhole) {
+      add(RowGroup.Runs, () =>
+        createRunRows(workers, { epoch, nowMs: sentMs, storedEndOf }),
+      );
+    }
     add(RowGroup.Roster, () =>
       isRosterOf(this.#storedRoster, rostered)
         ? []
@@ -366,10 +362,9 @@
     return groups;
   }
 
-  /** Writes about finished jobs for which a commit of `used` rows has room. */
-  #listHistoryWrites(used: number): readonly Write[] {
+  /** Writes about finished jobs, at most as many as a commit has room for. */
+  #listHistoryWrites(room: number): readonly Write[] {
     const { history } = this.#options;
-    const room = MAX_ROWS_PER_COMMIT - used;
     return history?.listWrites(MAX_MOVES_PER_COMMIT, room) ?? [];
   }
 
--- a/packages/leader/src/state_batches.ts
+++ b/packages/leader/src/state_batches.ts
@@ -108,10 +108,9 @@
       this.#dirty.delete(id);
       this.#committing.add(id);
     }
-    const isWhole = this.#dirty.size === 0;
     const setAside = new Set(this.#setAside.keys());
     for (const { job } of taken) setAside.delete(job.id);
-    return { records: taken, writes, parts, isWhole, setAside };
+    return { ...this.takeNone(), records: taken, writes, parts, setAside };
   }
 
   /** A batch without jobs. */
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -27,8 +27,117 @@
 const CONFIG_EXCHANGE_CASES = "packages/config/src/config_exchange_test.ts";
 const PENDING_CASES = "packages/faults/src/pending_cases_test.ts";
 
+const UNSTORED_ENDS = "packages/faults/src/unstored_ends_test.ts";
+const PROBE_CASES = "packages/faults/src/probe_cases_test.ts";
+const STATE_BATCHES = "packages/leader/src/state_batches_test.ts";
+const REJECTED_ROWS = "packages/leader/src/rejected_rows_test.ts";
+const INTERFERENCE = "packages/jobs/src/interference_test.ts";
+
 /** What is taken out: in `file`, `from` becomes `to`. */
 const MUTATIONS = [
+  {
+    name: "progress: ends of jobs that are not stored are not acknowledged",
+    file: "packages/leader/src/progress_store.ts",
+    from: "worker.storableEndNumber(batch.setAside)",
+    to: "worker.processedEndNumber",
+    test: UNSTORED_ENDS,
+  },
+  {
+    name: "progress: a job that cannot be stored does not hold up all ends",
+    file: "packages/jobs/src/worker_record.ts",
+    from: "const least = this.lastEndNumber - MAX_UNSTORED_ENDS;",
+    to: "const least = 0;",
+    test: UNSTORED_ENDS,
+  },
+  {
+    name: "progress: a change during the retry of a rejected state is stored",
+    file: "packages/leader/src/state_batches.ts",
+    from: "const isRetried = this.#committing.has(id);",
+    to: "const isRetried = false;",
+    test: STATE_BATCHES,
+  },
+  {
+    name: "progress: a job is set aside only when it is rejected twice",
+    file: "packages/leader/src/state_batches.ts",
+    from: "this.#suspect.isLikely = true;",
+    to: "this.#putAside(this.#suspect.record, 0);\n      this.#suspect = undefined;",
+    test: STATE_BATCHES,
+  },
+  {
+    name: "progress: rows beside states are not blamed on a job",
+    file: "packages/leader/src/progress_store.ts",
+    from: "if (groups.length > 0) {",
+    to: "if (groups.length < 0) {",
+    test: REJECTED_ROWS,
+  },
+  {
+    name: "progress: groups of rows are tried one by one",
+    file: "packages/leader/src/progress_store.ts",
+    from: "this.#groups.isAllowed(group)",
+    to: "true",
+    test: REJECTED_ROWS,
+  },
+  {
+    name: "stored rows: what is learnt fits into a row",
+    file: "packages/jobs/src/serving_image.ts",
+    from: "if (bytes > maxBytes) break;",
+    to: "",
+    test: INTERFERENCE,
+  },
+  {
+    name: "stored rows: images are forgotten",
+    file: "packages/jobs/src/interference_model.ts",
+    from: "this.#images.size > MAX_IMAGES",
+    to: "this.#images.size < 0",
+    test: INTERFERENCE,
+  },
+  {
+    name: "stored rows: runs on workers are limited in bytes",
+    file: "packages/jobs/src/stored_runs.ts",
+    from: "bytes + size > MAX_ROW_BYTES ||",
+    to: "",
+    test: "packages/jobs/src/stored_runs_test.ts",
+  },
+  {
+    name: "stored rows: a roster without one of its rows is not read",
+    file: "packages/leader/src/stored_roster.ts",
+    from: "if (read.err) return read;",
+    to: "if (read.err) continue;",
+    test: "packages/leader/src/stored_roster_test.ts",
+  },
+  {
+    name: "stored rows: moves stay within the rows of a commit",
+    file: "packages/leader/src/job_history.ts",
+    from: "if (writes.length + ROWS_PER_MOVE + job.parts > maxRows) continue;",
+    to: "",
+    test: "packages/leader/src/job_history_test.ts",
+  },
+  {
+    name: "probes: what was at work before is no probe",
+    file: "packages/jobs/src/worker_record.ts",
+    from: "sentMs >= this.probedFromMs;",
+    to: "sentMs >= 0;",
+    also: {
+      file: "packages/jobs/src/worker_record.ts",
+      from: "nowMs - attempt.sentMs < PROBE_MS &&",
+      to: "",
+    },
+    test: PROBE_CASES,
+  },
+  {
+    name: "probes: one at a time within a planning round",
+    file: "packages/jobs/src/worker_fit.ts",
+    from: "if (worker.isProbeOpen(nowMs, stepRun)) return undefined;",
+    to: "",
+    test: PROBE_CASES,
+  },
+  {
+    name: "probes: failures of a former incarnation are forgotten",
+    file: "packages/leader/src/run_monitor.ts",
+    from: "this.#health.forget(worker.id);\n    worker.probedFromMs = undefined;",
+    to: "",
+    test: PROBE_CASES,
+  },
   {
     name: "config: answers may take as long as they keep arriving",
     file: "packages/http_ports/src/http_exchange.ts",
@@ -675,9 +784,9 @@
   {
     name: "the next leader knows the runs of a released leadership",
     file: "packages/leader/src/progress_store.ts",
-    from: "...(isReleased && isWhole",
-    to: "...(isReleased && !isWhole",
-    test: WORKER_LOSS_CASES,
+    from: "} else if (batch.isWhole) {",
+    to: "} else if (!batch.isWhole) {",
+    test: KNOWLEDGE_CASES,
   },
   {
     name: "a worker stays listed as silent until it answers the next leader",
@@ -689,8 +798,8 @@
   {
     name: "runs are listed only when all ends of the worker are stored",
     file: "packages/jobs/src/stored_runs.ts",
-    from: "(areAllStored || worker.storedEndNumber >= worker.lastEndNumber)",
-    to: "(areAllStored || worker.storedEndNumber >= 0)",
+    from: "storedEndOf(worker) >= worker.lastEndNumber",
+    to: "storedEndOf(worker) >= 0",
     test: "packages/jobs/src/stored_runs_test.ts",
   },
   {
@@ -731,7 +840,7 @@
   {
     name: "a roster whose commit may still take effect is written anew",
     file: "packages/leader/src/progress_store.ts",
-    from: "if (isRosterNew) this.#storedRoster = undefined;",
+    from: "if (isRosterSent) this.#storedRoster = undefined;",
     to: "",
     test: KNOWLEDGE_CASES,
   },
