--- a/packages/faults/src/probe_cases_test.ts
+++ b/packages/faults/src/probe_cases_test.ts
@@ -108,6 +108,30 @@
   assert.equal(phases.filter((one) => one === JobPhase.Completed).length, jobs);
 });
 
+// Guards against a worker that waits for the end of a probe that was cancelled.
+test("probes: another task starts beside a cancelled one that is slow to stop", async () => {
+  const world = new EntryWorld({ entries: 2, workers: 1 });
+  await world.advance(2000);
+  world.fleet.failing.add("w0");
+  for (const id of ["c000000000000000", "c000000000000001"]) {
+    await world.submit(id, `work=${WORK_MS}`, [{ count: 1 }]);
+  }
+  await world.advance(1000);
+  world.fleet.failing.clear();
+  for (const id of ["c000000000000000", "c000000000000001"]) {
+    await world.cancel(id);
+  }
+  const [probe, next] = ["d000000000000000", "d000000000000001"];
+  await world.submit(probe, "work=60000&stop=20000", [{ count: 1 }]);
+  await world.advance(MAX_IDLE_MS);
+  await world.cancel(probe);
+  await world.submit(next, `work=${WORK_MS}`, [{ count: 1 }]);
+  await world.advance(MAX_IDLE_MS);
+  const started = world.fleet.history.map(({ task }) => task.split("/")[0]);
+  assert.ok(started.includes(probe), "the probe did not start");
+  assert.ok(started.includes(next), "nothing started beside it");
+});
+
 /** How another life of a worker begins. */
 const LIFE_CASES: readonly {
   readonly name: string;
