--- a/review/standins-3/worker.mjs
+++ b/review/standins-3/worker.mjs
@@ -29,8 +29,9 @@
   /**
    * `options`: id, store, service, zone, labels, capacity, maxHoldMs,
    * `needsOf(task)`, `{cpu, memMb}`, and `durationOf(task)`, in ms; infinity for
-   * a task that lasts. `onEvent` gets `{worker, born, task, run, what}` for each
-   * start and each end.
+   * a task that lasts. `endOf(task)` tells how a run ends by itself, "done" by
+   * default. `onEvent` gets `{worker, born, task, run, what}` for each start and
+   * each end.
    */
   constructor(options) {
     this.#options = options;
@@ -133,7 +134,9 @@
       for (const run of [...this.#state.runs.values()]) {
         if (nowMs >= this.#state.leaseMs) this.#end(run, "lapsed");
         else if (nowMs >= run.stopMs) this.#end(run, "stopped");
-        else if (nowMs - run.startMs >= run.durationMs) this.#end(run, "done");
+        else if (nowMs - run.startMs >= run.durationMs) {
+          this.#end(run, this.#options.endOf?.(run.task) ?? "done");
+        }
       }
       await sleep(10);
     }
