--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -14,6 +14,8 @@
   Served: "served",
   /** Carried out `lateMs` later if its condition still holds; not answered. */
   Late: "late",
+  /** Answered with 503; nothing was done. */
+  Rejected: "down",
 };
 
 export class Store {
@@ -96,6 +98,10 @@
       setTimeout(() => this.#carryOut(body), lateMs);
       return;
     }
+    if (fate === Fate.Rejected) {
+      send(response, 503, {});
+      return;
+    }
     const { status, answer } = this.#carryOut(body);
     send(response, status, answer);
   }
--- a/review/standins-3/worker.mjs
+++ b/review/standins-3/worker.mjs
@@ -31,7 +31,7 @@
    * `needsOf(task)`, `{cpu, memMb}`, and `durationOf(task)`, in ms; infinity for
    * a task that lasts. `endOf(task)` tells how a run ends by itself, "done" by
    * default. `onEvent` gets `{worker, born, task, run, what}` for each start and
-   * each end.
+   * each end, `onSeen` gets `{task, run, how}` for each end that is taken note of.
    */
   constructor(options) {
     this.#options = options;
@@ -272,6 +272,9 @@
   async #onHold({ lastSeen = 0, deadlineMs, waitMs = 0 }, response, boot) {
     const state = this.#state;
     this.#extendLease(deadlineMs);
+    for (const [number, task, run, how] of state.ends) {
+      if (number <= lastSeen) this.#options.onSeen?.({ task, run, how });
+    }
     state.ends = state.ends.filter(([number]) => number > lastSeen);
     if (state.ends.length === 0 && waitMs > 0) {
       await new Promise((resolve) => {
