--- a/review/13/main.mjs
+++ b/review/13/main.mjs
@@ -1,22 +1,45 @@
-// A client hands a job in. The entry is killed while its write to the store is
-// on the way; the write is carried out some seconds later. Meanwhile the client,
-// which got no response, cancels the job at another entry and is answered.
+// A client hands in a job of several stages, each of which follows the stage
+// before it. All other jobs of the queue have to run meanwhile, and the entries
+// have to answer.
 import { Deployment, newJobId, runCase } from "../standins-3/deployment.mjs";
-import { Fate, sleep } from "../standins-3/store.mjs";
+import { sleep } from "../standins-3/store.mjs";
 import { Worker } from "../standins-3/worker.mjs";
 
 const isTrouble = process.env.TROUBLE !== "0";
-/** A write without an answer is carried out 1 to 6 s later. */
-const LATE_MS = 5500;
-/** `cancel_ms` of the deployment. */
-const CANCEL_MS = 3000;
-const WATCH_MS = 12_000;
-const WORKERS = 4;
+const STAGES = Number(process.env.STAGES ?? 12);
+const STEPS_PER_STAGE = 4;
+const WORKERS = 6;
+/** What the rule LOST says: no run for 3 s though there is capacity. */
+const IDLE_MS = 3000;
+const SMALL_JOBS = 10;
+/** Longest time for which small jobs are handed in. */
+const SUBMIT_MS = 20_000;
+const WATCH_MS = 25_000;
+
+const task = { count: 1, cpu: 500, memMb: 500, estimateMs: 300 };
+
+/** Steps of a stage; they follow those with the numbers in `after`. */
+function stageAfter(after) {
+  return Array.from({ length: STEPS_PER_STAGE }, () => ({ ...task, after }));
+}
+
+/** One job in which each stage follows the one before it. */
+function stagedJob() {
+  const steps = [];
+  for (let stage = 0; stage < STAGES; stage += 1) {
+    const before = Array.from(
+      { length: stage === 0 ? 0 : STEPS_PER_STAGE },
+      (_, index) => (stage - 1) * STEPS_PER_STAGE + index,
+    );
+    steps.push(...stageAfter(before));
+  }
+  return { spec: "staged", steps };
+}
 
 await runCase(async () => {
   const deployment = new Deployment(import.meta.dirname);
   const { store } = deployment;
-  const starts = [];
+  const firstStartMs = new Map();
   const workers = Array.from(
     { length: WORKERS },
     (_, index) =>
@@ -28,11 +51,14 @@
         labels: ["a", `r1-${index + 1}`],
         capacity: { cpu: 16_000, memMb: 64_000, gpu: 0 },
         maxHoldMs: 6000,
-        durationOf: () => 2000,
-        needsOf: () => ({ cpu: 1000, memMb: 1000 }),
-        onEvent: ({ worker, task, run, what }) => {
-          deployment.record(`worker ${worker}: ${task} run ${run}: ${what}`);
-          if (what === "start") starts.push({ task, atMs: performance.now() });
+        durationOf: () => 300,
+        needsOf: () => ({ cpu: 500, memMb: 500 }),
+        onEvent: ({ worker, task: name, run, what }) => {
+          deployment.record(`worker ${worker}: ${name} run ${run}: ${what}`);
+          const job = name.slice(0, name.indexOf("."));
+          if (what === "start" && !firstStartMs.has(job)) {
+            firstStartMs.set(job, performance.now());
+          }
         },
       }),
   );
@@ -55,49 +81,61 @@
     });
     // Later than the start of the processes, as traffic is.
     await sleep(8000);
-    const { leader } = deployment;
-    deployment.record(`${leader} leads`);
-    const [killed, other] = deployment.entries.filter(
-      ({ name }) => name !== leader,
-    );
-    const id = newJobId();
-    store.decide = ({ body, caller }) => {
-      const isOfJob = body.writes?.some(({ key }) => key === id) ?? false;
-      if (!isTrouble || !isOfJob || !caller.endsWith(`/${killed.name}`)) {
-        return { fate: Fate.Served };
+    const accepted = new Map();
+    let calls = 0;
+    /** Hands a job in; without a response, once more at another entry. */
+    const submit = async (body) => {
+      const id = newJobId();
+      for (let tries = 0; tries < 2; tries += 1) {
+        const entry = deployment.entries[calls % deployment.entries.length];
+        calls += 1;
+        const { status } = await deployment.client(
+          entry,
+          "POST",
+          `/queue/${id}`,
+          { body },
+        );
+        if (status === 200) accepted.set(id, performance.now());
+        if (status !== 0) return;
       }
-      killed.process.kill("SIGKILL");
-      deployment.record(
-        `${killed.name} is killed; its write of the job is carried out ${LATE_MS} ms later`,
-      );
-      setTimeout(
-        () => deployment.record("the store carries out the write"),
-        LATE_MS,
-      );
-      return { fate: Fate.Late, lateMs: LATE_MS };
     };
-    const body = {
-      spec: "withdrawn",
-      steps: [{ count: 2, cpu: 1000, memMb: 1000, estimateMs: 2000 }],
-    };
-    await deployment.client(killed, "POST", `/queue/${id}`, { body });
-    const cancelled = await deployment.client(other, "DELETE", `/queue/${id}`);
-    const isAcknowledged = cancelled.status === 200 || cancelled.status === 410;
-    if (!isAcknowledged) throw new Error("the cancelling is not acknowledged");
-    const cancelledMs = performance.now();
+    if (isTrouble) await submit(stagedJob());
+    else {
+      // The same work, each stage as a job of its own.
+      for (let stage = 0; stage < STAGES; stage += 1) {
+        await submit({ spec: "stage", steps: stageAfter([]) });
+      }
+    }
+    const submitEndMs = performance.now() + SUBMIT_MS;
+    for (let job = 0; job < SMALL_JOBS; job += 1) {
+      if (performance.now() > submitEndMs) break;
+      await submit({ spec: "small", steps: [task] });
+      await sleep(300);
+    }
     await sleep(WATCH_MS);
-    await deployment.client(other, "GET", `/queue/${id}`);
-    const late = starts.filter(
-      ({ task, atMs }) => task.startsWith(id) && atMs > cancelledMs + CANCEL_MS,
-    );
-    for (const { task, atMs } of late) {
-      const afterMs = Math.round(atMs - cancelledMs);
+    const broken = [];
+    const nowMs = performance.now();
+    for (const [id, acceptedMs] of accepted) {
+      const waitMs = (firstStartMs.get(id) ?? nowMs) - acceptedMs;
+      if (waitMs < IDLE_MS) continue;
+      const end = firstStartMs.has(id) ? "before its first start" : "so far";
+      broken.push(id);
       deployment.record(
-        `UNASKED broken: ${task} starts ${afterMs} ms after the answer ${cancelled.status} to DELETE`,
+        `LOST broken: job ${id} was accepted and waited ${Math.round(waitMs)} ms ${end}, with idle workers`,
       );
     }
-    if (late.length === 0) deployment.record("UNASKED held");
-    return late.length > 0;
+    // Jobs are asked for: each accepted one has to be known.
+    for (const entry of deployment.entries) {
+      for (const id of [...accepted.keys()].slice(0, 2)) {
+        await deployment.client(entry, "GET", `/queue/${id}`);
+      }
+    }
+    deployment.record(
+      broken.length > 0
+        ? `LOST broken for ${broken.length} of ${accepted.size} jobs`
+        : `LOST held for ${accepted.size} jobs`,
+    );
+    return broken.length > 0;
   } finally {
     for (const worker of workers) if (worker.isUp) worker.crash();
     await deployment.stop({ keepLogs: process.env.KEEP_LOGS === "1" });
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -112,7 +112,7 @@
     const isTooLarge =
       all.length > MAX_ENTRIES ||
       bytes > MAX_BYTES ||
-      writes.some(({ value }) => value.length > ROW_BYTES) ||
+      writes.some(({ value }) => sizeOf(value) > ROW_BYTES) ||
       new Set(all.map(({ part }) => part ?? "")).size > 1;
     if (isTooLarge) return { status: 400, answer: {} };
     const current = (entry) => this.#rows.get(rowId(entry))?.schemaVersion ?? 0;
@@ -208,6 +208,11 @@
   return `${table}\0${part}\0${key}`;
 }
 
+/** Size of a row's value, which is base64 of at most `rowBytes`. */
+function sizeOf(value) {
+  return Buffer.byteLength(value, "base64");
+}
+
 function encode(value) {
   if (value === undefined) return undefined;
   return Buffer.from(JSON.stringify(value), "utf8").toString("base64");
