fix(leader): a restarted worker refuses starts that were sent before its restart

Cause: a start order without an answer was forgotten once a second try of it was confirmed. The worker then crashed and came back under its id, with no memory of runs, stops or fences; the attempt was given up with its first report, the task started elsewhere, and the first try was carried out by the new incarnation. A run that a report lists beside another run of its task was never stopped.

Change: starts with an open try are kept by worker id (LateStarts). Each new incarnation is told to stop these runs, and gets no task until its report shows that it refuses them; their tasks do not start elsewhere before. What a former incarnation answered does not count. Of two runs of a task without copies, one is stopped.

--- a/packages/jobs/src/job_board.ts
+++ b/packages/jobs/src/job_board.ts
@@ -8,6 +8,7 @@
 import type { Job } from "./job";
 import { createJobRecord, findTask } from "./job_record";
 import { isFinal, JobPhase } from "./job_state";
+import { LateStarts } from "./late_starts";
 import { MachineCrashes } from "./machine_crashes";
 import { listStepRuns } from "./occurrences";
 import {
@@ -16,9 +17,12 @@
   isStepDone,
   type JobRecord,
   type Task,
+  taskNameOf,
 } from "./task";
 import {
   type EndedRun,
+  isReported,
+  isSameTask,
   type RegisteredWorker,
   RunEnd,
   type RunningRun,
@@ -55,6 +59,8 @@
   /** Runs that ended with their workers. */
   readonly losses: CrashLosses;
   readonly machines = new MachineCrashes();
+  /** Starts that workers may still carry out, whatever became of the runs. */
+  readonly lateStarts = new LateStarts();
   readonly #listener: BoardListener;
   readonly #options: BoardOptions;
   /** Jobs that are over, according to their rows; they may be unknown. */
@@ -202,9 +208,36 @@
       else if (attempt.isInherited) this.#detach(attempt);
       else this.#onMissing(attempt, times.sentMs);
     }
+    this.#refuseLateStarts(worker, report, times);
     this.losses.onReport(worker);
   }
 
+  /** Has a new incarnation refuse the starts that it may still carry out. */
+  #refuseLateStarts(
+    worker: WorkerRecord,
+    report: WorkerReport,
+    times: { sentMs: number; nowMs: number },
+  ): void {
+    const starts = this.lateStarts.onReport(worker.id, report, times);
+    worker.hasLateStarts = starts.length > 0;
+    for (const { task, run } of starts) {
+      const reason = "its start may be carried out late";
+      this.#listener.onStop({ worker, task, run, reason });
+    }
+  }
+
+  /** Records that a worker has answered the stop of a run. */
+  onStopped(worker: WorkerRecord, name: TaskName, run: number, nowMs: number) {
+    this.lateStarts.onStopped(worker.id, { task: name, run }, nowMs);
+    for (const attempt of worker.attempts) {
+      const isMatch =
+        attempt.phase === AttemptPhase.Stopping &&
+        attempt.run === run &&
+        isSameTask(taskNameOf(attempt.task), name);
+      if (isMatch) attempt.stoppedMs ??= nowMs;
+    }
+  }
+
   /** Records that a worker does not answer; its runs may be lost. */
   onSilent(worker: WorkerRecord, nowMs: number): void {
     worker.silentSinceMs ??= nowMs;
@@ -285,18 +318,22 @@
 
   /**
    * Handles a new incarnation of the worker. A start that was not confirmed
-   * before the report was requested may have reached the new incarnation, or may
-   * still reach it, so its attempt is kept.
+   * before the report was requested may have reached the new incarnation, and one
+   * with a try that was not answered may still reach it: their attempts are kept.
    */
   #onNewIncarnation(
     worker: WorkerRecord,
     { sentMs, nowMs }: { sentMs: number; nowMs: number },
   ): void {
+    this.lateStarts.onNewIncarnation(worker.id);
     for (const attempt of [...worker.attempts]) {
-      const confirmedMs = attempt.confirmedMs ?? Number.POSITIVE_INFINITY;
-      if (confirmedMs >= sentMs) continue;
+      // Only the former incarnation is known to have carried out a stop.
+      attempt.stoppedMs = undefined;
+      if (!isConfirmedBefore(attempt, sentMs)) continue;
       const noticedMs = worker.silentSinceMs ?? nowMs;
-      this.#detachLost(attempt, LossEvidence.Restarted, noticedMs);
+      this.losses.recordAttempt(attempt, LossEvidence.Restarted, noticedMs);
+      const start = { task: taskNameOf(attempt.task), run: attempt.run };
+      if (!this.lateStarts.has(worker.id, start)) this.#remove(attempt);
     }
     this.#onCrashProven(worker, nowMs);
     this.#resetReports(worker);
@@ -381,10 +418,25 @@
       this.onStarted(attempt, nowMs);
       this.losses.onListed(attempt);
       this.losses.onRunning(attempt, sentMs);
+      this.#stopDuplicates(task);
     }
     return attempt;
   }
 
+  /** Stops all runs but one of a task that must not run several times at once. */
+  #stopDuplicates({ attempts, stepRun: { step } }: Task): void {
+    if (step.isSpeculative || attempts.length < 2) return;
+    const [kept, ...others] = attempts
+      .filter(({ phase }) => phase !== AttemptPhase.Stopping)
+      .sort((a, b) =>
+        // The runs of a gang only work together with those of the same number.
+        step.isGang ? b.run - a.run : b.percent - a.percent || b.run - a.run,
+      );
+    for (const other of kept === undefined ? [] : others) {
+      this.stop(other, "another run of its task is at work");
+    }
+  }
+
   /** Stops a run whose job is over, or stays unknown for too long. */
   #onUnknownRun(
     worker: WorkerRecord,
@@ -438,7 +490,13 @@
       else this.#detachLost(attempt, LossEvidence.Restarted);
       return;
     }
-    const knownMs = attempt.confirmedMs ?? attempt.sentMs + START_CONFIRM_MS;
+    const { worker, bornMs, confirmedMs } = attempt;
+    const isOfFormer = bornMs !== 0 && bornMs !== worker.bornMs;
+    if (isOfFormer && isConfirmedBefore(attempt, sentMs)) {
+      this.stop(attempt, "its start may be carried out late");
+      return;
+    }
+    const knownMs = confirmedMs ?? attempt.sentMs + START_CONFIRM_MS;
     // A report requested before the start took effect cannot list the run.
     if (knownMs >= sentMs) return;
     attempt.missedReports += 1;
@@ -585,21 +643,10 @@
   }
 }
 
-/** Whether a report lists the run as running or ended. */
-function isReported(
-  { task, run }: RunningRun,
-  { running, ended }: WorkerReport,
+/** Whether the worker confirmed the start before that time. */
+function isConfirmedBefore(
+  { confirmedMs }: Attempt,
+  beforeMs: number,
 ): boolean {
-  return [...running, ...ended].some(
-    (other) => other.run === run && isSameTask(other.task, task),
-  );
-}
-
-function isSameTask(a: TaskName, b: TaskName): boolean {
-  return (
-    a.jobId === b.jobId &&
-    a.occurrence === b.occurrence &&
-    a.step === b.step &&
-    a.index === b.index
-  );
+  return confirmedMs !== undefined && confirmedMs < beforeMs;
 }
--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -18,6 +18,7 @@
 const COMPLETE_MS = 3000;
 const NAME = { jobId: "a", occurrence: 0, step: 0, index: 0 };
 const RUN = { run: 1, workedMs: 0, nowMs: 0 };
+const TIMES = { bornMs: 1, nowMs: 0 };
 
 interface Fixture {
   readonly board: JobBoard;
@@ -216,6 +217,71 @@
       assert.equal(stops.length, 1);
     },
   },
+  {
+    // Guards against tasks that run twice: a run of a former incarnation's start
+    // beside the run that took its place went on until its end.
+    name: "a run that begins beside a later one of its task is stopped",
+    act: ({ board, add, report, stops }) => {
+      const record = add([{}]);
+      startElsewhere(board, record, 2);
+      report({ running: [{ ...running(1), percent: 0 }] });
+      assert.deepEqual(
+        stops.map(({ worker, run }) => [worker.id, run]),
+        [["w", 1]],
+      );
+    },
+  },
+  {
+    name: "of two runs of a task, the one that has done more goes on",
+    act: ({ board, add, report, stops }) => {
+      const record = add([{}]);
+      startElsewhere(board, record, 2);
+      report({ running: [{ ...running(1), percent: 40 }] });
+      report({ running: [{ ...running(1), percent: 41 }] });
+      assert.deepEqual(new Set(stops.map(({ run }) => run)), new Set([2]));
+    },
+  },
+  {
+    name: "of two runs of a member of a gang, the later one goes on",
+    act: ({ board, add, report, stops }) => {
+      const record = add([{ isGang: true }]);
+      startElsewhere(board, record, 2);
+      report({ running: [{ ...running(1), percent: 40 }] });
+      assert.deepEqual(new Set(stops.map(({ run }) => run)), new Set([1]));
+    },
+  },
+  {
+    name: "copies of a task are not stopped because of each other",
+    act: ({ board, add, report, stops }) => {
+      const record = add([{ isSpeculative: true }]);
+      startElsewhere(board, record, 2);
+      report({ running: [running(1)] });
+      assert.equal(stops.length, 0);
+    },
+  },
+  {
+    // Guards against tasks that run twice: what the former incarnation answered
+    // does not keep a new one from carrying out a start.
+    name: "a stop that a former incarnation answered is repeated",
+    act: ({ board, add, start, report, stops }) => {
+      const record = add([{}]);
+      report({});
+      start(record);
+      board.lateStarts.add("w", { task: NAME, run: 1 }, TIMES);
+      const [attempt] = taskOf(record).attempts;
+      assert.ok(attempt);
+      board.stop(attempt, "test");
+      board.onStopped(workerOf(board), NAME, 1, 30);
+      report({ bornMs: 2 }, { sentMs: 40, nowMs: 50 });
+      assert.equal(taskOf(record).attempts.length, 1);
+      assert.equal(workerOf(board).hasLateStarts, true);
+      assert.ok(stops.length > 1);
+      board.onStopped(workerOf(board), NAME, 1, 60);
+      report({ bornMs: 2 }, { sentMs: 70, nowMs: 80 });
+      assert.equal(taskOf(record).attempts.length, 0);
+      assert.equal(workerOf(board).hasLateStarts, false);
+    },
+  },
   {
     name: "a run missing in reports is stopped before its task starts again",
     act: ({ add, start, report, stops }) => {
@@ -427,6 +493,12 @@
   };
 }
 
+/** Starts a run of the first task of a job on another worker. */
+function startElsewhere(board: JobBoard, record: JobRecord, run: number) {
+  const other = board.addWorker(createWorkerInfo("other"));
+  board.onStarted(board.onSent(taskOf(record), run, other, 0), 0);
+}
+
 function createJob(id: string, steps: Partial<Step>[]): Job {
   return {
     id,
--- a/packages/jobs/src/task_worker.ts
+++ b/packages/jobs/src/task_worker.ts
@@ -140,6 +140,26 @@
   readonly hasMore: boolean;
 }
 
+/** Whether a report lists the run as running or ended. */
+export function isReported(
+  { task, run }: { readonly task: TaskName; readonly run: number },
+  { running, ended }: WorkerReport,
+): boolean {
+  return [...running, ...ended].some(
+    (other) => other.run === run && isSameTask(other.task, task),
+  );
+}
+
+/** Whether two names are those of the same task. */
+export function isSameTask(a: TaskName, b: TaskName): boolean {
+  return (
+    a.jobId === b.jobId &&
+    a.occurrence === b.occurrence &&
+    a.step === b.step &&
+    a.index === b.index
+  );
+}
+
 /** Addresses an order to a run that was started. */
 export interface RunOrder {
   readonly task: TaskName;
--- a/packages/jobs/src/worker_record.ts
+++ b/packages/jobs/src/worker_record.ts
@@ -67,6 +67,8 @@
    * nothing any more.
    */
   isReplaced = false;
+  /** Whether it may still begin runs whose starts were sent before. */
+  hasLateStarts = false;
   /** Monotonic ms at which its last answered renewal was sent. */
   lastReportMs = Number.NEGATIVE_INFINITY;
   /** Monotonic ms after which all granted leases have expired. */
--- a/packages/leader/src/term.ts
+++ b/packages/leader/src/term.ts
@@ -639,6 +639,7 @@
     if (worker.isReplaced) return WorkerExclusion.Replaced;
     if (!worker.hasReported) return WorkerExclusion.NoReport;
     if (!worker.canGrantLease) return WorkerExclusion.NoLease;
+    if (worker.hasLateStarts) return WorkerExclusion.LateStarts;
     if (worker.info.isDraining) return WorkerExclusion.Draining;
     if (!this.#guard.mayStartOn(worker)) return WorkerExclusion.Evacuated;
     const byFailures = this.#runMonitor.exclusionOf(worker, nowMs);
--- a/packages/leader/src/worker_exclusion.ts
+++ b/packages/leader/src/worker_exclusion.ts
@@ -17,6 +17,8 @@
   SetAside = "set_aside",
   /** The outcome of the task that probes it is not known yet. */
   Probed = "probed",
+  /** It restarted and may still carry out starts that were sent before. */
+  LateStarts = "late_starts",
   /** It refused a start a moment ago. */
   Backoff = "backoff",
 }
--- a/packages/leader/src/worker_link.ts
+++ b/packages/leader/src/worker_link.ts
@@ -9,7 +9,6 @@
 import {
   type StartReply,
   StartVerdict,
-  type TaskName,
   type TaskWorker,
   type WorkerReport,
 } from "@laburnumtrack/jobs/task_worker";
@@ -51,6 +50,8 @@
  * The same where fillers may slow serving tasks: reports are due more often.
  */
 const PRESSURE_RENEWAL_WAIT_MS = 350;
+/** The same while a stop on a restarted worker is not known to be effective. */
+const LATE_START_RENEWAL_WAIT_MS = 50;
 /** Interval at which stored ends are checked before a renewal, in ms. */
 const STORE_POLL_INTERVAL_MS = 50;
 /** Longest time that a renewal waits for ends to be stored, in ms. */
@@ -144,27 +145,30 @@
   async start(attempt: Attempt): Promise<void> {
     const { clock, board, port, maySendOrders, metrics, latency, guard } =
       this.#options;
+    const start = { task: taskNameOf(attempt.task), run: attempt.run };
     let isWithdrawn = false;
     const { value, isFenced, isUncertain } = await sendWithResends({
       clock,
       maxTries: MAX_ORDER_TRIES,
       resendDelayMs: latency.resendDelayMs,
       send: () => {
-        if (attempt.phase !== AttemptPhase.Starting || !maySendOrders()) {
-          return undefined;
-        }
+        const isOpen =
+          attempt.phase === AttemptPhase.Starting &&
+          this.worker.attempts.has(attempt);
+        if (!isOpen || !maySendOrders()) return undefined;
         if (!guard.mayStartOn(this.worker)) {
           isWithdrawn = true;
           return undefined;
         }
         const leaseUntilMs = this.#grantStart();
         if (leaseUntilMs === undefined) return undefined;
-        const { task, run } = attempt;
+        const { task } = attempt;
         const sentMs = clock.nowMs();
         guard.onSending(attempt);
+        const { bornMs } = this.worker;
+        board.lateStarts.add(this.worker.id, start, { bornMs, nowMs: sentMs });
         const call = port.start(this.worker.info, {
-          task: taskNameOf(task),
-          run,
+          ...start,
           spec: task.stepRun.record.job.spec,
           epoch: this.#options.epoch,
           leaseUntilMs,
@@ -180,6 +184,7 @@
       },
       onFault: (fault) => this.#onOrderFault(fault),
     });
+    if (!isUncertain) board.lateStarts.remove(this.worker.id, start);
     if (value !== undefined) {
       this.#onStartReply(attempt, value, isUncertain);
       return;
@@ -242,7 +247,9 @@
   }
 
   async #sendStop({ task, run }: StopRequest): Promise<void> {
-    const { clock, port, epoch, maySendOrders, latency } = this.#options;
+    const { clock, board, port, epoch, maySendOrders, latency } = this.#options;
+    const { worker } = this;
+    const { bornMs } = worker;
     const { value, isFenced } = await sendWithResends({
       clock,
       maxTries: MAX_ORDER_TRIES,
@@ -250,27 +257,15 @@
       send: () =>
         maySendOrders()
           ? port
-              .stop(this.worker.info, { task, run, epoch })
+              .stop(worker.info, { task, run, epoch })
               .then((done) => done.map(() => true))
           : undefined,
       onFault: (fault) => this.#onOrderFault(fault),
     });
-    if (value !== undefined && !isFenced) this.#onStopped(task, run);
-  }
-
-  #onStopped({ jobId, occurrence, step, index }: TaskName, run: number): void {
-    const nowMs = this.#options.clock.nowMs();
-    for (const attempt of this.worker.attempts) {
-      const { stepRun } = attempt.task;
-      const isMatch =
-        attempt.phase === AttemptPhase.Stopping &&
-        attempt.run === run &&
-        attempt.task.index === index &&
-        stepRun.number === step &&
-        stepRun.occurrence === occurrence &&
-        stepRun.record.job.id === jobId;
-      if (isMatch) attempt.stoppedMs ??= nowMs;
-    }
+    if (value === undefined || isFenced) return;
+    // The former incarnation may have answered; the next report repeats it.
+    if (worker.bornMs !== bornMs) return;
+    board.onStopped(worker, task, run, clock.nowMs());
   }
 
   async #renew(signal: AbortSignal): Promise<boolean> {
@@ -344,7 +339,8 @@
   }
 
   get #waitMs(): number {
-    const { serving, fillerMilli } = this.worker;
+    const { serving, fillerMilli, hasLateStarts } = this.worker;
+    if (hasLateStarts) return LATE_START_RENEWAL_WAIT_MS;
     return serving.size > 0 && fillerMilli > 0
       ? PRESSURE_RENEWAL_WAIT_MS
       : RENEWAL_WAIT_MS;
@@ -373,9 +369,19 @@
     }
     const before = worker.lastEndNumber;
     const wasNew = !worker.hasReported;
+    const hadLateStarts = worker.hasLateStarts;
     board.onReport(worker, report, { sentMs, nowMs, wallMs: clock.wallMs() });
     onReport(worker);
-    if (worker.lastEndNumber !== before || wasNew) onBoardChanged();
+    if (worker.hasLateStarts !== hadLateStarts) {
+      journal.info(
+        worker.hasLateStarts
+          ? "A restarted worker may carry out earlier starts; it gets no new task until it refuses them."
+          : "A restarted worker refuses earlier starts; it takes tasks as before.",
+        { worker: worker.id, bornMs: report.bornMs },
+      );
+    }
+    const isUsable = hadLateStarts && !worker.hasLateStarts;
+    if (worker.lastEndNumber !== before || wasNew || isUsable) onBoardChanged();
   }
 
   #onRenewalFailed(fault: Fault): void {
--- a/packages/standins/src/task_fleet_standin.ts
+++ b/packages/standins/src/task_fleet_standin.ts
@@ -128,6 +128,8 @@
   readonly delayed = new Set<string>();
   /** Delay after which orders to such workers take effect, in ms. */
   lateOrderDelayMs = LATE_ORDER_DELAY_MS;
+  /** Number of next start orders that time out and take effect later. */
+  lateStarts = 0;
   /** Workers on which all runs that start fail. */
   readonly failing = new Set<string>();
   /** Workers on which calls take effect, but whose answers are lost. */
@@ -211,7 +213,15 @@
     target: WorkerTarget,
     order: StartOrder,
   ): Promise<Result<StartReply, Fault>> {
-    return await this.#call(target, () => this.#startNow(target.id, order));
+    const execute = () => this.#startNow(target.id, order);
+    if (this.lateStarts > 0) {
+      this.lateStarts -= 1;
+      void this.#clock.sleep(this.lateOrderDelayMs).then(() => {
+        if (!this.#stateOf(target.id).hasCrashed) execute();
+      });
+      return await this.#timeOut(target);
+    }
+    return await this.#call(target, execute);
   }
 
   override async stop(
