fix(jobs): the work to rank a job is linear in its steps

After a job of 48 steps in 12 stages was accepted, no task started and entries did not answer; each new leader hung in turn.

Cause: remainingPathMs visited every path through the steps of a job (4^12 here) for each step in each planning round.

Change: the longest chains of all steps are calculated together, from the last step to the first, and kept for the job. criticalPathMs uses the same result.

--- a/packages/jobs/src/cost_limit.ts
+++ b/packages/jobs/src/cost_limit.ts
@@ -1,5 +1,5 @@
-import { earliestStartMsOf } from "./job";
-import { objectiveMs, remainingPathMs } from "./job_order";
+import { earliestStartMsOf, remainingPathMs } from "./job";
+import { objectiveMs } from "./job_order";
 import type { StepRun } from "./task";
 
 /** Highest interference cost of a filler whose job has enough slack. */
@@ -47,7 +47,8 @@
   const deadlineMs =
     earliestStartMsOf(record.job, occurrence) + objectiveMs(record);
   if (wallMs > deadlineMs) return LATE_COST_LIMIT;
-  const slackMs = deadlineMs - wallMs - remainingPathMs(stepRun);
+  const pathMs = remainingPathMs(record.job, stepRun.number);
+  const slackMs = deadlineMs - wallMs - pathMs;
   const urgency = Math.min(1, Math.max(0, 1 - slackMs / URGENT_SLACK_MS));
   return (
     RELAXED_COST_LIMIT + urgency * (URGENT_COST_LIMIT - RELAXED_COST_LIMIT)
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -83,22 +83,49 @@
   return job.steps.some((step) => step.isLongRunning);
 }
 
-/** Results of {@linkcode criticalPathMs}: jobs never change. */
-const criticalPaths = new WeakMap<Job, number>();
+/** Estimated durations of chains of dependent steps, in ms. */
+interface PathLengths {
+  /** Of the longest chain in the job. */
+  readonly criticalMs: number;
+  /** Of the longest chain that begins with a step, by the step's number. */
+  readonly remainingMs: readonly number[];
+}
+
+/** Results of {@linkcode pathLengthsOf}: jobs never change. */
+const pathLengths = new WeakMap<Job, PathLengths>();
 
 /** Duration of the longest chain of dependent steps in ms, as estimated. */
 export function criticalPathMs(job: Job): number {
-  const known = criticalPaths.get(job);
+  return pathLengthsOf(job).criticalMs;
+}
+
+/**
+ * Duration of the longest chain of dependent steps that begins with the step of
+ * that number, in ms, as estimated.
+ */
+export function remainingPathMs(job: Job, number: number): number {
+  return pathLengthsOf(job).remainingMs[number] ?? 0;
+}
+
+/** Visits each step and dependency once: the number of paths is not bounded. */
+function pathLengthsOf(job: Job): PathLengths {
+  const known = pathLengths.get(job);
   if (known !== undefined) return known;
-  const lengths: number[] = [];
-  for (const [index, step] of job.steps.entries()) {
-    let before = 0;
-    for (const earlier of step.after) {
-      if (earlier < index) before = Math.max(before, lengths[earlier] ?? 0);
+  const { steps } = job;
+  const remainingMs = new Array<number>(steps.length).fill(0);
+  let criticalMs = 0;
+  for (let number = steps.length - 1; number >= 0; number -= 1) {
+    const { estimateMs = 0, after = [] } = steps[number] ?? {};
+    // All later steps have been visited: the maximum of their chains is final.
+    const lengthMs = estimateMs + (remainingMs[number] ?? 0);
+    remainingMs[number] = lengthMs;
+    criticalMs = Math.max(criticalMs, lengthMs);
+    for (const earlier of after) {
+      if (earlier >= number) continue;
+      remainingMs[earlier] = Math.max(remainingMs[earlier] ?? 0, lengthMs);
     }
-    lengths.push(before + step.estimateMs);
   }
-  const longest = Math.max(0, ...lengths);
-  criticalPaths.set(job, longest);
-  return longest;
+  const lengths = { criticalMs, remainingMs };
+  pathLengths.set(job, lengths);
+  return lengths;
 }
--- a/packages/jobs/src/job_order.ts
+++ b/packages/jobs/src/job_order.ts
@@ -1,6 +1,11 @@
-import { criticalPathMs, isLongRunning, type Job } from "./job";
+import {
+  criticalPathMs,
+  isLongRunning,
+  type Job,
+  remainingPathMs,
+} from "./job";
 import { listStepRuns } from "./occurrences";
-import { isStepDone, type JobRecord, type StepRun, type Task } from "./task";
+import { isStepDone, type JobRecord, type Task } from "./task";
 
 /** Time within which a job should complete, in ms. */
 export function objectiveMs(record: JobRecord): number {
@@ -9,20 +14,6 @@
   return stretch * criticalPathMs(job) + targetMs;
 }
 
-/** Duration of the longest chain of steps that begins with this one, in ms. */
-export function remainingPathMs(stepRun: StepRun): number {
-  const { steps } = stepRun.record.job;
-  let longest = 0;
-  for (const [number, step] of steps.entries()) {
-    if (number > stepRun.number && step.after.includes(stepRun.number)) {
-      const next = stepRun.record.occurrences[stepRun.occurrence]?.[number];
-      if (next !== undefined)
-        longest = Math.max(longest, remainingPathMs(next));
-    }
-  }
-  return stepRun.step.estimateMs + longest;
-}
-
 /** After this many times its objective a job is worth nothing to its caller. */
 const EXPIRY_FACTOR = 3;
 
@@ -96,7 +87,7 @@
       );
     // The remaining time of a started step is unknown and may be short.
     const ownMs = isStarted ? stepRun.step.estimateMs : 0;
-    leftMs = Math.max(leftMs, remainingPathMs(stepRun) - ownMs);
+    leftMs = Math.max(leftMs, remainingPathMs(job, stepRun.number) - ownMs);
   }
   return wallMs + leftMs > job.submittedMs + objectiveMs(record);
 }
--- a/packages/planning/src/preemption.ts
+++ b/packages/planning/src/preemption.ts
@@ -4,8 +4,8 @@
   type Resources,
   subtractResources,
 } from "@laburnumtrack/core/resources";
-import { earliestStartMsOf } from "@laburnumtrack/jobs/job";
-import { objectiveMs, remainingPathMs } from "@laburnumtrack/jobs/job_order";
+import { earliestStartMsOf, remainingPathMs } from "@laburnumtrack/jobs/job";
+import { objectiveMs } from "@laburnumtrack/jobs/job_order";
 import { isFinal } from "@laburnumtrack/jobs/job_state";
 import type { UnplacedStep } from "@laburnumtrack/jobs/planning_aid";
 import type {
@@ -389,5 +389,5 @@
   const { record, occurrence } = stepRun;
   const deadlineMs =
     earliestStartMsOf(record.job, occurrence) + objectiveMs(record);
-  return deadlineMs - wallMs - remainingPathMs(stepRun);
+  return deadlineMs - wallMs - remainingPathMs(record.job, stepRun.number);
 }
