fix(desk): a cancelled job cannot be stored by a write that is under way

An entry was killed with the write of a submission under way; the cancellation at another entry was answered 410, and 5.5 s later the job started.

Cause: a cancellation that found no row, or the tombstone of a refused submission, was answered NotFound and stored nothing. The condition of the write under way, that there is no row, still held, and a tombstone may be replaced by a later try.

Change: the cancellation stores a closed, cancelled row on the condition of what it read, and then answers NotFound. The leader removes it after the retention period.

Why it works: every commit that stores a job requires the row to be absent or to be the tombstone that was read; both conditions fail from then on, for killed, paused and running entries.

--- a/packages/desk/src/job_service.ts
+++ b/packages/desk/src/job_service.ts
@@ -155,22 +155,27 @@
 
   /**
    * Cancels a job; has no effect when its row is closed already. `NotFound` when
-   * no job has this id.
+   * no job has this id; it is closed then, too, so that a submission which is
+   * still under way, here or elsewhere, cannot store the job any more.
    */
   async cancel(id: string, deadlineMs: number): Promise<Result<void, Fault>> {
+    const { clock, table } = this.#options;
     const call = async (): Promise<Result<void, Fault>> => {
-      const row = await this.#readRow(id);
+      const row = await this.#readAnyRow(id);
       if (row.err) return row;
       const { value, revision } = row.val;
-      if (value.job === undefined) return Ok(undefined);
+      const isStored = value !== undefined && value.refusal === undefined;
+      if (isStored && value.job === undefined) return Ok(undefined);
       const key = jobKey(id);
-      const closedMs = this.#options.clock.wallMs();
-      const closed = { isCancelled: true, closedMs };
-      const done = await this.#options.table.commit({
+      // Without a job, the leader's own clock tells how long the row is kept.
+      const time = isStored ? { closedMs: clock.wallMs() } : {};
+      const closed = encodeClosedJobRow({ isCancelled: true, ...time });
+      const done = await table.commit({
         checks: [{ key, revision }],
-        writes: [{ key, value: encodeClosedJobRow(closed) }],
+        writes: [{ key, value: closed }],
       });
-      return done.ok ? Ok(undefined) : done;
+      if (done.err) return done;
+      return isStored ? Ok(undefined) : Err(new Fault(FaultCode.NotFound, id));
     };
     const path = ForwardPath.Cancel;
     const decode = () => Ok(undefined);
@@ -193,20 +198,29 @@
     return readEndedJob(outcome).map(({ phase }) => phase);
   }
 
+  /** The row of a stored job; `NotFound` if there is none. */
   async #readRow(
     id: string,
   ): Promise<Result<{ value: JobRow; revision: number }, Fault>> {
+    const read = await this.#readAnyRow(id);
+    if (read.err) return read;
+    const { value, revision } = read.val;
+    // A tombstone stands for submissions that were refused, not for a job.
+    return value !== undefined && value.refusal === undefined
+      ? Ok({ value, revision })
+      : Err(new Fault(FaultCode.NotFound, id));
+  }
+
+  /** The row of a job or a tombstone; revision 0 and no value without either. */
+  async #readAnyRow(
+    id: string,
+  ): Promise<Result<{ value: JobRow | undefined; revision: number }, Fault>> {
     const read = await this.#options.table.get([jobKey(id)]);
     if (read.err) return read;
     const [row] = read.val;
-    if (row === undefined) return Err(new Fault(FaultCode.NotFound, id));
+    if (row === undefined) return Ok({ value: undefined, revision: 0 });
     const { revision } = row;
-    const value = readJobRow(row);
-    if (value.err) return value;
-    // A tombstone stands for submissions that were refused, not for a job.
-    return value.val.refusal === undefined
-      ? Ok({ value: value.val, revision })
-      : Err(new Fault(FaultCode.NotFound, id));
+    return readJobRow(row).map((value) => ({ value, revision }));
   }
 
   /**
--- a/packages/desk/src/job_service_test.ts
+++ b/packages/desk/src/job_service_test.ts
@@ -99,6 +99,23 @@
     calls: [submit, cancel, submit, readPhase],
     answer: JobPhase.Cancelled,
   },
+  {
+    name: "an unknown job is cancelled twice",
+    calls: [cancel, cancel],
+    answer: undefined,
+  },
+  {
+    // Guards against jobs that start after their cancellation: the submission was
+    // still under way when the cancellation found no row.
+    name: "a job that was cancelled before it is sent stays cancelled",
+    calls: [cancel, submit, readPhase],
+    answer: JobPhase.Cancelled,
+  },
+  {
+    name: "a refused job that was cancelled stays cancelled when it is sent again",
+    calls: [refuse, cancel, submit, readPhase],
+    answer: JobPhase.Cancelled,
+  },
   {
     name: "a table that rejects calls: not stored",
     calls: [setTrouble(TableFault.Down), submit],
