fix(desk): a job that no row can hold is refused with 413

A job of more than about 200 steps is larger than the 65,536 bytes of a row. It was tried until the caller's deadline, refused by a tombstone and answered with 503, so that callers repeat it for ever.

Cause: the rejection of the table was taken for one that may pass.

Evidence: "job service: a job that does not fit into a row is refused" failed before with not_stored; it passes. Jobs of 200 steps are stored before and after, and a stored job is known whatever is sent again under its id.

Change: the size of the row is checked before anything is sent; the answer is 413 with both sizes.

Why it works: a row of a job only grows with its description, so no later try can store it.

--- a/packages/desk/src/job_service.ts
+++ b/packages/desk/src/job_service.ts
@@ -5,6 +5,7 @@
 import type { Job } from "@laburnumtrack/jobs/job";
 import {
   encodeClosedJobRow,
+  encodeOpenJobRow,
   endedKey,
   type JobRow,
   jobKey,
@@ -12,6 +13,7 @@
   readJobRow,
   readState,
   stateKey,
+  TABLE_ROW_LIMIT_BYTES,
 } from "@laburnumtrack/jobs/job_rows";
 import { isFinal, JobPhase } from "@laburnumtrack/jobs/job_state";
 import { Err, Ok, type Result } from "ts-results";
@@ -85,6 +87,7 @@
    * Stores a job exactly once; `deadlineMs` is monotonic. `StoreUnavailable`,
    * `RateLimited` and `NotStored` mean that it is not stored and never will be
    * by this submission, `OutcomeUnknown` that it may be stored now or later.
+   * `TooLarge` means that no row can hold the job.
    */
   async submit(
     job: Job,
@@ -92,6 +95,13 @@
     forwarded?: ForwardedSubmission,
   ): Promise<Result<SubmitOutcome, Fault>> {
     const { clock, table, forwarder } = this.#options;
+    const bytes = Buffer.byteLength(encodeOpenJobRow(job));
+    const isTooLarge = bytes > TABLE_ROW_LIMIT_BYTES;
+    // A repeated submission of a stored job must not be refused.
+    if (isTooLarge && !(await this.mayBeStored(job.id, deadlineMs))) {
+      const detail = `${bytes} bytes to store, at most ${TABLE_ROW_LIMIT_BYTES}`;
+      return Err(new Fault(FaultCode.TooLarge, detail));
+    }
     const mayBeStored =
       forwarded?.mayBeStored === true || this.#unresolved.has(job.id);
     this.#unresolved.add(job.id);
--- a/packages/desk/src/job_service_test.ts
+++ b/packages/desk/src/job_service_test.ts
@@ -9,6 +9,7 @@
   endedKey,
   jobKey,
   stateKey,
+  TABLE_ROW_LIMIT_BYTES,
 } from "@laburnumtrack/jobs/job_rows";
 import { JobPhase } from "@laburnumtrack/jobs/job_state";
 import { createStep } from "@laburnumtrack/jobs/test_samples";
@@ -116,6 +117,28 @@
     calls: [refuse, cancel, submit, readPhase],
     answer: JobPhase.Cancelled,
   },
+  {
+    // Guards against callers that repeat a job for ever which no row can hold:
+    // they were told to try again.
+    name: "a job that does not fit into a row is refused",
+    calls: [submitSteps(300)],
+    answer: FaultCode.TooLarge,
+  },
+  {
+    name: "a job that is refused for its size is not stored",
+    calls: [submitSteps(300), readPhase],
+    answer: FaultCode.NotFound,
+  },
+  {
+    name: "a large job that fits into a row is stored",
+    calls: [submitSteps(200)],
+    answer: "stored",
+  },
+  {
+    name: "a stored job is known, whatever its size is when it is sent again",
+    calls: [submit, submitSteps(300)],
+    answer: "known",
+  },
   {
     name: "a table that rejects calls: not stored",
     calls: [setTrouble(TableFault.Down), submit],
@@ -178,6 +201,7 @@
   test(`job service: ${name}`, async () => {
     const clock = new VirtualClock();
     const table = new FeedTableStandin(clock);
+    table.rowLimitBytes = TABLE_ROW_LIMIT_BYTES;
     const setup = {
       clock,
       table,
@@ -199,6 +223,13 @@
   return outcomeOf(await desk.submit(JOB, clock.nowMs() + WAIT_MS));
 }
 
+/** Submits the job with that many steps. */
+function submitSteps(count: number) {
+  const steps = Array.from({ length: count }, () => createStep());
+  return async ({ desk, clock }: Setup): Promise<unknown> =>
+    outcomeOf(await desk.submit({ ...JOB, steps }, clock.nowMs() + WAIT_MS));
+}
+
 async function cancel({ desk, clock }: Setup): Promise<unknown> {
   return outcomeOf(await desk.cancel(JOB.id, clock.nowMs() + WAIT_MS));
 }
--- a/packages/faults/src/entry_world.ts
+++ b/packages/faults/src/entry_world.ts
@@ -3,7 +3,11 @@
 import { JobService } from "@laburnumtrack/desk/job_service";
 import { DomainEvacuations } from "@laburnumtrack/evacuation/domain_evacuations";
 import type { Job, Step } from "@laburnumtrack/jobs/job";
-import { encodeOpenJobRow, jobKey } from "@laburnumtrack/jobs/job_rows";
+import {
+  encodeOpenJobRow,
+  jobKey,
+  TABLE_ROW_LIMIT_BYTES,
+} from "@laburnumtrack/jobs/job_rows";
 import type { JobPhase } from "@laburnumtrack/jobs/job_state";
 import {
   type Queue,
@@ -87,8 +91,6 @@
 const DEFAULT_LEASE_MS = 6000;
 /** Longer than any case, whose phases are read at its end. */
 const DEFAULT_JOB_RETENTION_MS = 3_600_000;
-/** Largest row that the platform's table accepts, in bytes. */
-const ROW_LIMIT_BYTES = 65_536;
 /** How long the leader may send orders after its last commit. */
 const DEFAULT_RIGHT_MS = 3500;
 const RESTORE_MS = 100;
@@ -136,7 +138,7 @@
       { length: workers },
       (_, index) => workerIds[index] ?? `w${index}`,
     );
-    this.table.rowLimitBytes = ROW_LIMIT_BYTES;
+    this.table.rowLimitBytes = TABLE_ROW_LIMIT_BYTES;
     this.#registry = registry;
     this.#capacities = capacities;
     this.#leaseMs = leaseMs;
--- a/packages/jobs/src/job_rows.ts
+++ b/packages/jobs/src/job_rows.ts
@@ -24,10 +24,10 @@
   Leader = "leader/",
 }
 
-/**
- * Largest row that the leader writes, in bytes; the table rejects rows of more
- * than 65,536.
- */
+/** Size of a row above which the table rejects it, in bytes. */
+export const TABLE_ROW_LIMIT_BYTES = 65_536;
+
+/** Largest row that the leader writes, in bytes; below the table's limit. */
 export const MAX_ROW_BYTES = 48_000;
 
 /** Key of the {@linkcode Leadership} row. */
