--- a/packages/jobs/src/job_board_test.ts
+++ b/packages/jobs/src/job_board_test.ts
@@ -282,6 +282,23 @@
       assert.equal(workerOf(board).hasLateStarts, false);
     },
   },
+  {
+    // Guards against tasks that run twice: a task started elsewhere before the new
+    // incarnation of its worker refused a start that was still under way.
+    name: "a task waits for a restarted worker that may still carry out its start",
+    act: ({ board, add, start, report, stops }) => {
+      const record = add([{}]);
+      report({});
+      start(record);
+      board.lateStarts.add("w", { task: NAME, run: 1 }, TIMES);
+      report({ bornMs: 2 }, { sentMs: 40, nowMs: 50 });
+      assert.equal(taskOf(record).attempts.length, 1);
+      assert.ok(stops.length > 0);
+      board.onStopped(workerOf(board), NAME, 1, 60);
+      report({ bornMs: 2 }, { sentMs: 70, nowMs: 80 });
+      assert.equal(taskOf(record).attempts.length, 0);
+    },
+  },
   {
     name: "a run missing in reports is stopped before its task starts again",
     act: ({ add, start, report, stops }) => {
--- a/scripts/mutations.mjs
+++ b/scripts/mutations.mjs
@@ -32,9 +32,69 @@
 const STATE_BATCHES = "packages/leader/src/state_batches_test.ts";
 const REJECTED_ROWS = "packages/leader/src/rejected_rows_test.ts";
 const INTERFERENCE = "packages/jobs/src/interference_test.ts";
+const LATE_START_CASES = "packages/faults/src/late_start_cases_test.ts";
+const BOARD_CASES = "packages/jobs/src/job_board_test.ts";
+const EARLY_CANCEL_CASES = "packages/faults/src/early_cancel_cases_test.ts";
+const CALLER_CASES = "platform/src/caller_server_test.ts";
 
 /** What is taken out: in `file`, `from` becomes `to`. */
 const MUTATIONS = [
+  {
+    name: "late starts: a run whose start may still be carried out is kept",
+    file: "packages/jobs/src/job_board.ts",
+    from: "if (!this.lateStarts.has(worker.id, start)) this.#remove(attempt);",
+    to: "this.#remove(attempt);",
+    test: BOARD_CASES,
+  },
+  {
+    name: "late starts: each incarnation of a worker is told to refuse them",
+    file: "packages/jobs/src/late_starts.ts",
+    from: "start.refusingBornMs === bornMs",
+    to: "start.refusingBornMs !== 0",
+    test: LATE_START_CASES,
+  },
+  {
+    name: "late starts: a stop answered by a former incarnation does not count",
+    file: "packages/jobs/src/job_board.ts",
+    from: "this.lateStarts.onNewIncarnation(worker.id);",
+    to: "",
+    test: BOARD_CASES,
+  },
+  {
+    name: "late starts: one of two runs of a task is stopped",
+    file: "packages/jobs/src/job_board.ts",
+    from: "this.#stopDuplicates(task);",
+    to: "",
+    test: BOARD_CASES,
+  },
+  {
+    name: "job paths: the chains of a job's steps are calculated once",
+    file: "packages/jobs/src/job.ts",
+    from: "if (known !== undefined) return known;",
+    to: "",
+    test: "packages/jobs/src/job_paths_test.ts",
+  },
+  {
+    name: "cancellation: an id without a job is closed",
+    file: "packages/desk/src/job_service.ts",
+    from: "const key = jobKey(id);",
+    to: "if (!isStored) return Err(new Fault(FaultCode.NotFound, id));\n      const key = jobKey(id);",
+    test: EARLY_CANCEL_CASES,
+  },
+  {
+    name: "cancellation: a job of a removed queue is cancelled by its id",
+    file: "platform/src/caller_server.ts",
+    from: 'request.method !== "DELETE" || id === undefined',
+    to: "id !== undefined || id === undefined",
+    test: CALLER_CASES,
+  },
+  {
+    name: "submission: a job that no row can hold is refused at once",
+    file: "packages/desk/src/job_service.ts",
+    from: "bytes > TABLE_ROW_LIMIT_BYTES;",
+    to: "bytes < 0;",
+    test: "packages/desk/src/job_service_test.ts",
+  },
   {
     name: "progress: ends of jobs that are not stored are not acknowledged",
     file: "packages/leader/src/progress_store.ts",
